Add: The interfaces of the aggregates, the protocol, the build and its checks

Change: typed ids, clock, outcomes, policy objects, and the headers of admission, retry, ticket, routing, configuration, membership, platform and fleet; the .proto with its generated code; docs/INTERFACE.md; formatter, linter, test and proof scripts. Ruled out: one library for each folder (a link line each, and no build time gained). Conclusion: the aggregates can be filled in separately.

--- /dev/null
+++ b/src/core/clock.cpp
@@ -0,0 +1,21 @@
+/** @file clock.cpp Reads the system's clocks. */
+
+#include "core/clock_type.h"
+
+#include <chrono>
+
+namespace cicadamux {
+
+clock_ms steadyNow()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count() };
+}
+
+clock_ms wallNow()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count() };
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,6 @@
+/** @file main.cpp Entry point. */
+
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/platform/platform_http_func.h
@@ -0,0 +1,23 @@
+/** @file platform_http_func.h The platform's client over HTTP. */
+
+#pragma once
+
+#include "platform/platform_type.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+
+namespace cicadamux {
+
+struct platform_http_settings {
+    std::string address; ///< `IP:port`.
+    clock_ms timeout{ 1'000 }; ///< For each call; a watch's wait is added.
+    std::uint32_t callsPerMinute = 60; ///< Budget; a waiting watch counts as one call.
+};
+
+/** Makes a client that runs on the context's threads. Its handlers may be called on any of them. */
+std::unique_ptr<platform_client> makePlatformHttpClient(boost::asio::io_context &context, platform_http_settings settings);
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/request/call_type.h
@@ -0,0 +1,62 @@
+/** @file call_type.h A call on its way through the daemons, and how it ended. */
+
+#pragma once
+
+#include "core/clock_type.h"
+#include "core/id_type.h"
+#include "request/outcome_type.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cicadamux {
+
+/** Greatest depth of a call tree; a deeper call is refused as `bad_request`. */
+constexpr std::uint8_t maxCallDepth = 16;
+
+/** One HTTP header. */
+struct http_field {
+    std::string name;
+    std::string value;
+};
+
+/** What all calls of one root share, and where in the tree this call stands. */
+struct call_context {
+    root_id root;
+    rank_id rank; ///< From the policy, by the root's service and operation.
+    std::string callClass; ///< Class of the root, such as `pitch-hold`.
+    bool isProtected = false; ///< Whether the rank is protected.
+    bool lateOk = false; ///< The deadline orders the call, but neither drops nor cancels it.
+    clock_ms deadline; ///< Instant on this daemon's clock; for late-ok calls the late limit.
+    std::uint8_t depth = 0; ///< 0 for the call that entered at an edge.
+    std::uint32_t retryAllowance = 0; ///< Extra attempts that this call brought with it.
+};
+
+/** A call with the request that the backend server will see. */
+struct call_request {
+    call_context context;
+    std::string service;
+    std::string operation;
+    bool atMostOnce = false;
+    std::string ticket; ///< Encoded; empty for operations that aren't at-most-once.
+    std::string method;
+    std::string target;
+    std::vector<http_field> headers; ///< Without hop-by-hop and `cicadamux-` headers.
+    std::string body;
+};
+
+/** How a call ended. */
+struct call_result {
+    call_outcome outcome = call_outcome::unknown;
+    refusal_detail detail; ///< Meaningful unless the outcome is `answered`.
+    unsigned status = 0; ///< HTTP status of the answer.
+    std::vector<http_field> headers; ///< Headers of the answer.
+    std::string body; ///< Body of the answer.
+    std::uint32_t retriesUnspent = 0; ///< What is left of the allowance that the call brought.
+};
+
+/** Makes the result of a call that wasn't answered. */
+call_result makeRefused(refusal_detail detail, std::uint32_t retriesUnspent);
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/ticket/ticket_func.h
@@ -0,0 +1,21 @@
+/** @file ticket_func.h Text form of tickets, protected by a MAC. */
+
+#pragma once
+
+#include "ticket/ticket_type.h"
+
+#include <string>
+#include <string_view>
+
+namespace cicadamux {
+
+/** Encodes a ticket with an HMAC-SHA256 under the fleet's key; URL-safe text of at most 512 characters. */
+std::string encodeTicket(const ticket &subject, std::string_view key);
+
+/**
+ * Decodes and verifies a ticket.
+ * @throws ticket_error with `ticket_invalid` if it is malformed or its MAC is wrong.
+ */
+ticket decodeTicket(std::string_view text, std::string_view key);
+
+} // namespace cicadamux
--- /dev/null
+++ b/tools/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds everything into build/ (or $1).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+[ -f "$build/build.ninja" ] || cmake -S . -B "$build" -G Ninja >/dev/null
+ninja -C "$build" --quiet
--- /dev/null
+++ b/tools/prove.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# Shows that a test sees the fault it is meant for: switches off one mechanism at a time in a scratch copy, and expects the test to fail.
+# Usage: tools/prove.sh [NAME...]    The mechanisms stand in tests/mutations.txt, a line each:
+#   name | file | sed expression that switches it off | test program | test case filter
+# Prints for each: mutation=NAME test="..." seen_failing=yes|no|not_applied|not_built
+set -uo pipefail
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+mkdir "$scratch/tree"
+git ls-files --cached --others --exclude-standard | tar -cf - -T - | tar -xf - -C "$scratch/tree"
+cmake -S "$scratch/tree" -B "$scratch/build" -G Ninja >/dev/null || exit 2
+result=0
+while IFS='|' read -r name file expression program filter; do
+    name=$(xargs <<<"$name")
+    case "$name" in ''|'#'*) continue ;; esac
+    if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
+    file=$(xargs <<<"$file")
+    program=$(xargs <<<"$program")
+    filter=$(sed 's/^ *//; s/ *$//' <<<"$filter")
+    expression=$(sed 's/^ *//; s/ *$//' <<<"$expression")
+    cp "$scratch/tree/$file" "$scratch/original"
+    sed -i -E "$expression" "$scratch/tree/$file"
+    if cmp -s "$scratch/original" "$scratch/tree/$file"; then
+        seen=not_applied
+    elif ! ninja -C "$scratch/build" "$program" cicadamux >"$scratch/log" 2>&1; then
+        seen=not_built
+        tail -5 "$scratch/log"
+    elif "$scratch/build/tests/$program" --test-case="$filter" >"$scratch/log" 2>&1; then
+        seen=no
+    else
+        seen=yes
+        grep -m1 -E 'ERROR|FATAL|violat' "$scratch/log" || true
+    fi
+    [ "$seen" = yes ] || result=1
+    echo "mutation=$name test=\"$filter\" seen_failing=$seen"
+    cp "$scratch/original" "$scratch/tree/$file"
+done <tests/mutations.txt
+exit $result
