--- a/src/policy/policy_func.h
+++ b/src/policy/policy_func.h
@@ -29,8 +29,8 @@
 std::string formatServicePolicy(const service_policy &policy);
 
 /**
- * Checks what can be wrong between objects: unknown ranks, and operations that pass through
- * an at-most-once operation's service without being at-most-once themselves while they retry.
+ * Checks what can be wrong between objects: unknown ranks, unknown services in `passes_through`, and operations
+ * that pass through an at-most-once operation's service without being at-most-once themselves while they retry.
  * @return All faults; empty if the set can be used.
  */
 std::vector<policy_fault> checkPolicySet(const policy_set &set);
