Add: Settings in JSON from one table

Each setting stands once, in a table with path, type, unit, range, meaning and place; its default is what the struct holds, so that the two can't differ. Unknown keys, wrong types, values out of range, missing and malformed ones are told at once with what is allowed.

--- a/src/settings/settings_func.h
+++ b/src/settings/settings_func.h
@@ -24,4 +24,7 @@
 /** Describes each setting in a line: path, type, unit, range, default, meaning. */
 std::string explainSettings();
 
+/** Writes the page docs/SETTINGS.md. */
+std::string explainSettingsMarkdown();
+
 } // namespace cicadamux
--- /dev/null
+++ b/src/settings/settings_read.cpp
@@ -0,0 +1,317 @@
+/** @file settings_read.cpp Reads settings by their table and collects all faults. */
+
+#include "settings/settings_func.h"
+
+#include "settings/settings_table.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+namespace cicadamux {
+
+namespace {
+using detail::setting_place;
+using detail::setting_row;
+using detail::text_form;
+
+constexpr std::size_t maxFileSize = 1'048'576; ///< Bytes of a settings file.
+
+constexpr const char *wrongType = "wrong type";
+constexpr const char *outOfRange = "out of range";
+constexpr const char *malformed = "malformed";
+
+std::string describeFaults(const std::vector<settings_fault> &faults)
+{
+    std::string text = "settings refused:";
+    for (const settings_fault &fault : faults) {
+        text += "\n  " + fault.path + ": " + fault.problem + " (allowed: " + fault.allowed + ")";
+    }
+    return text;
+}
+
+bool isNameCharacter(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-' || character == '.';
+}
+
+bool isName(std::string_view text)
+{
+    constexpr std::size_t maxLength = 63;
+    return !text.empty() && text.size() <= maxLength && std::ranges::all_of(text, isNameCharacter);
+}
+
+bool isPort(std::string_view text)
+{
+    std::uint16_t port = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), port);
+    return failure == std::errc() && end == text.data() + text.size();
+}
+
+bool isAddress(std::string_view text)
+{
+    const std::size_t colon = text.find(':');
+    if (colon == std::string_view::npos || !isPort(text.substr(colon + 1))) {
+        return false;
+    }
+    boost::system::error_code failure;
+    boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), failure);
+    return !failure;
+}
+
+bool isOfForm(std::string_view text, text_form form)
+{
+    if (text.size() > detail::maxTextLength) {
+        return false;
+    }
+    switch (form) {
+    case text_form::name:
+        return isName(text);
+    case text_form::address:
+        return isAddress(text);
+    case text_form::address_or_empty:
+        return text.empty() || isAddress(text);
+    case text_form::secret:
+        return text.size() >= detail::minSecretLength;
+    case text_form::file:
+        break;
+    }
+    return text.find('\0') == std::string_view::npos;
+}
+
+std::optional<log_level> parseLevel(std::string_view text)
+{
+    for (const log_level level : { log_level::debug, log_level::info, log_level::warning, log_level::error }) {
+        if (detail::levelName(level) == text) {
+            return level;
+        }
+    }
+    return std::nullopt;
+}
+
+/** Puts one JSON value in its place. Each overload returns the problem, null if there is none. */
+struct value_reader {
+    const setting_row &row;
+    const boost::json::value &value;
+    daemon_settings &result;
+
+    const char *operator()(setting_place<std::string> place) const
+    {
+        if (!value.is_string()) {
+            return wrongType;
+        }
+        place(result) = std::string(value.as_string());
+        return isOfForm(value.as_string(), row.form) ? nullptr : malformed;
+    }
+
+    const char *operator()(setting_place<std::vector<std::string>> place) const
+    {
+        if (!value.is_array()) {
+            return wrongType;
+        }
+        if (value.as_array().size() > detail::maxListLength) {
+            return outOfRange;
+        }
+        for (const boost::json::value &element : value.as_array()) {
+            if (!element.is_string()) {
+                return wrongType;
+            }
+            if (!isOfForm(element.as_string(), row.form)) {
+                return malformed;
+            }
+            place(result).emplace_back(element.as_string());
+        }
+        return nullptr;
+    }
+
+    const char *operator()(setting_place<bool> place) const
+    {
+        if (!value.is_bool()) {
+            return wrongType;
+        }
+        place(result) = value.as_bool();
+        return nullptr;
+    }
+
+    const char *operator()(setting_place<log_level> place) const
+    {
+        if (!value.is_string()) {
+            return wrongType;
+        }
+        const auto level = parseLevel(value.as_string());
+        place(result) = level.value_or(log_level::info);
+        return level ? nullptr : "unknown value";
+    }
+
+    const char *operator()(setting_place<clock_ms> place) const
+    {
+        return readWhole(place(result).count);
+    }
+
+    template <typename Value>
+    const char *operator()(setting_place<Value> place) const
+    {
+        return readWhole(place(result));
+    }
+
+    template <typename Number>
+    const char *readWhole(Number &number) const
+    {
+        if (!value.is_int64() && !value.is_uint64()) {
+            return wrongType;
+        }
+        const auto found = value.to_number<double>(); // Exact over all ranges of the table.
+        if (found < row.least || found > row.most) {
+            return outOfRange;
+        }
+        number = static_cast<Number>(found);
+        return nullptr;
+    }
+};
+
+/** Walks a document along the table. */
+class settings_reader
+{
+public:
+    daemon_settings read(const boost::json::object &document)
+    {
+        walk(document, "");
+        reportMissing();
+        checkPairs();
+        if (!m_faults.empty()) {
+            throw settings_error(std::move(m_faults));
+        }
+        return std::move(m_result);
+    }
+
+private:
+    void walk(const boost::json::object &object, const std::string &prefix)
+    {
+        for (const auto &pair : object) {
+            const std::string path = prefix + std::string(pair.key());
+            const auto rows = detail::settingRows();
+            const auto row = std::ranges::find(rows, path, &setting_row::path);
+            if (row != rows.end()) {
+                readValue(*row, pair.value());
+            } else if (!isSection(path + '.')) {
+                fault(path, "unknown key", "one of " + keysOf(prefix));
+            } else if (!pair.value().is_object()) {
+                fault(path, wrongType, "object with " + keysOf(path + '.'));
+            } else {
+                walk(pair.value().get_object(), path + '.');
+            }
+        }
+    }
+
+    void readValue(const setting_row &row, const boost::json::value &value)
+    {
+        m_seen.emplace_back(row.path);
+        const char *problem = std::visit(value_reader{ row, value, m_result }, row.target);
+        if (problem != nullptr) {
+            fault(row.path, problem, detail::describeAllowed(row));
+        }
+    }
+
+    void reportMissing()
+    {
+        for (const setting_row &row : detail::settingRows()) {
+            if (row.isRequired && std::ranges::find(m_seen, row.path) == m_seen.end()) {
+                fault(row.path, "missing", detail::describeAllowed(row));
+            }
+        }
+    }
+
+    /** Checks settings that bound each other. */
+    void checkPairs()
+    {
+        if (m_result.gate.minLimit > m_result.gate.maxLimit) {
+            fault("gate.min_limit", outOfRange, "at most gate.max_limit");
+        }
+        if (m_result.gate.initialLimit < m_result.gate.minLimit || m_result.gate.initialLimit > m_result.gate.maxLimit) {
+            fault("gate.initial_limit", outOfRange, "gate.min_limit to gate.max_limit");
+        }
+        if (m_result.membership.probeTimeout.count >= m_result.membership.probePeriod.count) {
+            fault("membership.probe_timeout_ms", outOfRange, "less than membership.probe_period_ms");
+        }
+    }
+
+    static bool isSection(std::string_view prefix)
+    {
+        return std::ranges::any_of(detail::settingRows(), [prefix](const setting_row &row) { return row.path.starts_with(prefix); });
+    }
+
+    /** Lists the keys that may stand under a prefix. */
+    static std::string keysOf(std::string_view prefix)
+    {
+        std::vector<std::string_view> keys;
+        for (const setting_row &row : detail::settingRows()) {
+            if (row.path.starts_with(prefix)) {
+                const std::string_view rest = row.path.substr(prefix.size());
+                const std::string_view key = rest.substr(0, rest.find('.'));
+                if (std::ranges::find(keys, key) == keys.end()) {
+                    keys.push_back(key);
+                }
+            }
+        }
+        std::string text;
+        for (const std::string_view key : keys) {
+            text += (text.empty() ? "" : ", ") + std::string(key);
+        }
+        return text;
+    }
+
+    void fault(std::string_view path, std::string problem, std::string allowed)
+    {
+        m_faults.push_back({ std::string(path), std::move(problem), std::move(allowed) });
+    }
+
+    daemon_settings m_result;
+    std::vector<settings_fault> m_faults;
+    std::vector<std::string> m_seen;
+};
+} // namespace
+
+settings_error::settings_error(std::vector<settings_fault> found)
+    : error(describeFaults(found))
+    , m_faults(std::move(found))
+{
+}
+
+const std::vector<settings_fault> &settings_error::faults() const
+{
+    return m_faults;
+}
+
+daemon_settings parseSettings(std::string_view json)
+{
+    boost::system::error_code failure;
+    const boost::json::value parsed = boost::json::parse(json, failure);
+    if (failure) {
+        throw settings_error({ { "(document)", "not JSON: " + failure.message(), "a JSON object" } });
+    }
+    if (!parsed.is_object()) {
+        throw settings_error({ { "(document)", wrongType, "a JSON object" } });
+    }
+    return settings_reader().read(parsed.get_object());
+}
+
+daemon_settings loadSettings(const std::string &file)
+{
+    std::error_code failure;
+    const auto size = std::filesystem::file_size(file, failure);
+    std::ifstream stream(file, std::ios::binary);
+    if (failure || !stream || size > maxFileSize) {
+        throw settings_error({ { file, "can't be read", "a file of at most " + std::to_string(maxFileSize) + " bytes" } });
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parseSettings(text.str());
+}
+
+} // namespace cicadamux
