--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,8 @@
 /** @file main.cpp Entry point. */
 
-int main()
+#include "operator/command_line_func.h"
+
+int main(int argc, char **argv)
 {
-    return 0;
+    return cicadamux::runCommandLine(argc, argv);
 }
--- /dev/null
+++ b/src/operator/command_line.cpp
@@ -0,0 +1,203 @@
+/** @file command_line.cpp The program's subcommands and their flags. */
+
+#include "operator/command_line_func.h"
+
+#include "daemon/daemon_func.h"
+#include "operator/exit_code_type.h"
+#include "operator/subcommands_func.h"
+#include "settings/settings_func.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+
+#include <array>
+#include <iostream>
+#include <string>
+#include <vector>
+
+ABSL_FLAG(std::string, settings, "", "settings file of the daemon");
+ABSL_FLAG(bool, markdown, false, "print an explanation as a Markdown page");
+
+namespace cicadamux {
+
+namespace {
+constexpr std::string_view version = "0.1.0";
+
+using arguments = std::vector<std::string>;
+
+struct subcommand_row {
+    std::string_view name; ///< One or two words.
+    std::string_view usage; ///< What follows the name.
+    std::string_view help;
+    int (*run)(const arguments &rest);
+};
+
+int runHelp(const arguments &rest);
+
+int toExit(query_status status)
+{
+    return static_cast<int>(status);
+}
+
+/** @throws usage_error if the number of arguments is another. */
+void expectCount(const arguments &rest, std::size_t least, std::size_t most, std::string_view what)
+{
+    if (rest.size() < least || rest.size() > most) {
+        throw usage_error("expected " + std::string(what));
+    }
+}
+
+int runDaemonCommand(const arguments &rest)
+{
+    expectCount(rest, 0, 0, "no further words after daemon");
+    const std::string file = absl::GetFlag(FLAGS_settings);
+    if (file.empty()) {
+        throw usage_error("expected --settings=FILE");
+    }
+    return runDaemon(loadSettings(file));
+}
+
+int runSettingsCheck(const arguments &rest)
+{
+    expectCount(rest, 1, 1, "one settings file");
+    loadSettings(rest.front());
+    std::cout << rest.front() << ": ok\n";
+    return toExit(query_status::ok);
+}
+
+int runSettingsExplain(const arguments &rest)
+{
+    expectCount(rest, 0, 0, "no further words after settings explain");
+    std::cout << (absl::GetFlag(FLAGS_markdown) ? explainSettingsMarkdown() : explainSettings());
+    return toExit(query_status::ok);
+}
+
+int runPolicyCheck(const arguments &rest)
+{
+    expectCount(rest, 1, maxPolicyFiles, "one or more policy files");
+    return toExit(checkPolicyFiles(rest, std::cout));
+}
+
+int runVersion(const arguments &rest)
+{
+    expectCount(rest, 0, 0, "no further words after version");
+    std::cout << "cicadamux " << version << '\n';
+    return toExit(query_status::ok);
+}
+
+constexpr std::array<subcommand_row, 6> subcommands = { {
+    { "daemon", "--settings=FILE", "Runs a daemon until SIGTERM or SIGINT, then stops it gracefully", runDaemonCommand },
+    { "settings check", "FILE", "Checks a settings file and tells all its faults", runSettingsCheck },
+    { "settings explain", "[--markdown]", "Explains each setting: type, unit, range, default", runSettingsExplain },
+    { "policy check", "FILE...", "Checks policy files, each alone and all together", runPolicyCheck },
+    { "help", "", "Shows this help", runHelp },
+    { "version", "", "Shows the version", runVersion },
+} };
+
+std::string usageText()
+{
+    std::string text = "cicadamux: overload control for service call graphs\n\nSubcommands:\n";
+    for (const subcommand_row &row : subcommands) {
+        text += "  cicadamux " + std::string(row.name) + ' ' + std::string(row.usage) + "\n      " + std::string(row.help) + ".\n";
+    }
+    text += "\nExit codes:\n";
+    for (const status_row &row : statusRows()) {
+        text += "  " + std::to_string(toExit(row.status)) + "  " + std::string(row.name) + ": " + std::string(row.help) + ".\n";
+    }
+    return text;
+}
+
+int runHelp(const arguments & /*rest*/)
+{
+    std::cout << usageText();
+    return toExit(query_status::ok);
+}
+
+/** Checks a flag before Abseil parses it, because Abseil ends the process with its own exit code. @throws usage_error */
+void checkFlag(std::string_view argument)
+{
+    const std::string_view body = argument.substr(argument.starts_with("--") ? 2 : 1);
+    const auto equals = body.find('=');
+    const std::string_view name = body.substr(0, equals);
+    absl::CommandLineFlag *flag = absl::FindCommandLineFlag(absl::string_view(name.data(), name.size()));
+    if (flag == nullptr || flag->Filename().find("command_line.cpp") == std::string::npos) {
+        throw usage_error("unknown flag --" + std::string(name));
+    }
+    if (equals == std::string_view::npos) {
+        if (!flag->IsOfType<bool>()) {
+            throw usage_error("flag --" + std::string(name) + " wants a value: --" + std::string(name) + "=VALUE");
+        }
+        return;
+    }
+    const std::string value(body.substr(equals + 1));
+    std::string problem;
+    if (!flag->ParseFrom(value, &problem)) {
+        throw usage_error("flag --" + std::string(name) + ": " + problem);
+    }
+}
+
+arguments parseFlags(int argc, char **argv)
+{
+    for (int index = 1; index < argc; ++index) {
+        const std::string_view argument = argv[index];
+        if (argument == "--") {
+            break;
+        }
+        if (argument == "--help") {
+            return { "help" };
+        }
+        if (argument.size() > 1 && argument.starts_with('-')) {
+            checkFlag(argument);
+        }
+    }
+    const std::vector<char *> words = absl::ParseCommandLine(argc, argv);
+    return { words.begin() + 1, words.end() };
+}
+
+/** Tells whether the words begin with a subcommand's name; then removes it. */
+bool takeName(std::string_view name, arguments &words)
+{
+    const auto blank = name.find(' ');
+    const std::size_t count = blank == std::string_view::npos ? 1 : 2;
+    if (words.size() < count || words[0] != name.substr(0, blank) || (count == 2 && words[1] != name.substr(blank + 1))) {
+        return false;
+    }
+    words.erase(words.begin(), words.begin() + static_cast<std::ptrdiff_t>(count));
+    return true;
+}
+
+int dispatch(arguments words)
+{
+    if (words.empty()) {
+        throw usage_error("expected a subcommand");
+    }
+    for (const subcommand_row &row : subcommands) {
+        if (takeName(row.name, words)) {
+            return row.run(words);
+        }
+    }
+    throw usage_error("unknown subcommand " + words[0]);
+}
+} // namespace
+
+int runCommandLine(int argc, char **argv)
+{
+    try {
+        return dispatch(parseFlags(argc, argv));
+    } catch (const usage_error &wrong) {
+        std::cerr << "cicadamux: " << wrong.what() << "; see `cicadamux help`\n";
+        return toExit(query_status::usage);
+    } catch (const settings_error &refused) {
+        std::cerr << "cicadamux: " << refused.what() << '\n';
+        return toExit(query_status::refused);
+    } catch (const error &failed) {
+        std::cerr << "cicadamux: " << failed.what() << '\n';
+        return toExit(query_status::failed);
+    } catch (const std::exception &failed) {
+        std::cerr << "cicadamux: unexpected: " << failed.what() << '\n';
+        return toExit(query_status::failed);
+    }
+}
+
+} // namespace cicadamux
