Add: The daemon's listeners, its path of a call, and gRPC between daemons

Cause: a request has to go from a caller through two daemons to a backend server. Change: HTTP listeners and pooled clients by Beast, gRPC by the callback API, the gate's service, the dispatcher with bounded attempts, the entry of calls, announcements, tickets. Ruled out: one outcome for each gRPC status.

--- /dev/null
+++ b/src/daemon/daemon_base.h
@@ -0,0 +1,87 @@
+/** @file daemon_base.h One daemon: its aggregates, its listeners and its clock. */
+
+#pragma once
+
+#include "daemon/backend_link_base.h"
+#include "daemon/call_entry_base.h"
+#include "daemon/daemon_core_type.h"
+#include "daemon/dispatcher_base.h"
+#include "daemon/gate_service_base.h"
+#include "daemon/upstream_list_base.h"
+#include "fleet/fleet_base.h"
+#include "http/http_server_base.h"
+#include "peer/peer_server_base.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace cicadamux {
+
+/** Owns everything of one daemon. start() and drain() are called on one of the context's threads. */
+class daemon_process
+{
+public:
+    daemon_process(boost::asio::io_context &context, const daemon_settings &settings);
+    ~daemon_process();
+    daemon_process(const daemon_process &) = delete;
+    daemon_process &operator=(const daemon_process &) = delete;
+
+    /**
+     * Binds the listeners and joins the fleet.
+     * @throws cicadamux::error if an address can't be bound.
+     */
+    void start();
+
+    /**
+     * Begins a planned stop: leaves the view, refuses what is new as not run, and finishes what is in flight.
+     * @param done Called once nothing is in flight, or the stop's time limit has passed.
+     */
+    void drain(std::function<void()> done);
+
+    /** Ends all activity; the context's threads still run. */
+    void stop();
+
+private:
+    void startListeners();
+    void startFleet();
+    peer_server_hooks peerHooks();
+    fleet_hooks makeFleetHooks();
+    void policyChanged(const std::shared_ptr<const policy_set> &policies);
+    void viewChanged(const std::vector<member_record> &view);
+    void backendChanged(const backend_server &before, const backend_server &after);
+    void gateRefused(const call_request &request, const gate_decision &decision, const gate_snapshot &gate);
+    void entryRefused(const call_request &request, const refusal_detail &detail);
+    void handleAdmin(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
+    bool isReady() const;
+    bool isQuiet() const;
+    void updateGauges(clock_ms now);
+    void gateTick();
+    void housekeepingTick();
+    void waitUntilQuiet(clock_ms since, std::function<void()> done);
+
+    boost::asio::io_context &m_context;
+    std::unique_ptr<platform_client> m_platform; ///< Null without a platform.
+    daemon_core m_core;
+    backend_link m_backend;
+    gate_service m_gate;
+    dispatcher m_dispatcher;
+    call_entry m_entry;
+    std::unique_ptr<fleet> m_fleet;
+    std::unique_ptr<peer_server> m_peerServer;
+    std::unique_ptr<http_server> m_edge;
+    std::unique_ptr<http_server> m_local;
+    std::unique_ptr<http_server> m_admin;
+    boost::asio::steady_timer m_gateTimer;
+    boost::asio::steady_timer m_housekeepingTimer;
+    boost::asio::steady_timer m_drainTimer;
+    std::atomic<bool> m_ended{ false };
+    std::mutex m_viewMutex; ///< Serializes viewChanged().
+    upstream_list m_upstreams;
+};
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/daemon/daemon_core.cpp
@@ -0,0 +1,42 @@
+/** @file daemon_core.cpp Construction of what the parts of one daemon share. */
+
+#include "daemon/daemon_core_type.h"
+
+namespace cicadamux {
+
+namespace {
+constexpr std::size_t messageOverhead = 131'072; ///< Bytes of a message besides its body.
+
+router_settings routerSettings(const daemon_settings &settings)
+{
+    router_settings chosen;
+    chosen.dataCenter = settings.dataCenter;
+    chosen.host = settings.host;
+    chosen.subsetSize = settings.subsetSize;
+    chosen.slowStart = settings.slowStart;
+    return chosen;
+}
+} // namespace
+
+daemon_core::daemon_core(boost::asio::io_context &ioContext, const daemon_settings &daemonSettings, incarnation_id life)
+    : context(ioContext)
+    , settings(daemonSettings)
+    , incarnation(life)
+    , routes(routerSettings(daemonSettings), threadRandom)
+    , tickets(daemonSettings.host, life, daemonSettings.ticketCapacity)
+    , peers(daemonSettings.maxBodyBytes + messageOverhead)
+{
+}
+
+refusal_detail refusalHere(const daemon_core &core, outcome_reason reason, std::string_view service, std::string_view operation)
+{
+    refusal_detail detail;
+    detail.reason = reason;
+    detail.service = service;
+    detail.operation = operation;
+    detail.host = core.settings.host;
+    detail.dataCenter = core.settings.dataCenter;
+    return detail;
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/daemon/daemon_process.cpp
@@ -0,0 +1,207 @@
+/** @file daemon_process.cpp One daemon: construction, hooks between its parts, and its planned stop. */
+
+#include "core/log_func.h"
+#include "daemon/call_headers_func.h"
+#include "daemon/daemon_base.h"
+#include "platform/platform_http_func.h"
+
+#include <boost/asio/post.hpp>
+
+namespace cicadamux {
+
+namespace {
+constexpr std::int64_t exchangeTimeout = 2'000; // Milliseconds.
+constexpr std::size_t messageOverhead = 131'072; ///< Bytes of a message besides its body.
+constexpr std::int64_t leaveNotice = 1'000; ///< Milliseconds in which the word of leaving goes round while new calls are still answered as not run.
+constexpr std::int64_t quietCheck = 20; // Milliseconds.
+constexpr std::int64_t shutdownGrace = 500; // Milliseconds.
+
+std::unique_ptr<platform_client> makePlatform(boost::asio::io_context &context, const daemon_settings &settings)
+{
+    if (settings.platformAddress.empty()) {
+        return nullptr;
+    }
+    platform_http_settings chosen;
+    chosen.address = settings.platformAddress;
+    chosen.timeout = settings.platformTimeout;
+    chosen.callsPerMinute = settings.platformCallsPerMinute;
+    return makePlatformHttpClient(context, chosen);
+}
+
+http_limits listenerLimits(const daemon_settings &settings)
+{
+    http_limits limits;
+    limits.maxConnections = settings.maxConnections;
+    limits.maxHeaderBytes = settings.maxHeaderBytes;
+    limits.maxBodyBytes = settings.maxBodyBytes;
+    limits.idleTimeout = settings.idleTimeout;
+    limits.requestTimeout = settings.requestTimeout;
+    return limits;
+}
+} // namespace
+
+daemon_process::daemon_process(boost::asio::io_context &context, const daemon_settings &settings)
+    : m_context(context)
+    , m_platform(makePlatform(context, settings))
+    , m_core(context, settings, incarnation_id{ static_cast<std::uint64_t>(wallNow().count) })
+    , m_backend(context, m_core.settings, [this](const backend_server &before, const backend_server &after) { backendChanged(before, after); })
+    , m_gate(m_core,
+             m_backend,
+             [this](const call_request &request, const gate_decision &decision, const gate_snapshot &gate) { gateRefused(request, decision, gate); })
+    , m_dispatcher(m_core, m_gate)
+    , m_entry(m_core, m_dispatcher, m_backend, [this](const call_request &request, const refusal_detail &detail) { entryRefused(request, detail); })
+    , m_gateTimer(context)
+    , m_housekeepingTimer(context)
+    , m_drainTimer(context)
+{
+}
+
+daemon_process::~daemon_process() = default;
+
+void daemon_process::start()
+{
+    startFleet();
+    startListeners();
+    m_fleet->start();
+    gateTick();
+    housekeepingTick();
+    logEvent(log_level::info, "daemon_started", { { "data_center", m_core.settings.dataCenter }, { "incarnation", m_core.incarnation.value } });
+}
+
+void daemon_process::startFleet()
+{
+    m_fleet = std::make_unique<fleet>(m_context, m_core.settings, m_core.incarnation, m_platform.get(), makeFleetHooks());
+}
+
+fleet_hooks daemon_process::makeFleetHooks()
+{
+    fleet_hooks hooks;
+    hooks.viewChanged = [this](const std::shared_ptr<const std::vector<member_record>> &view) { viewChanged(*view); };
+    hooks.policyChanged = [this](const std::shared_ptr<const policy_set> &policies) { policyChanged(policies); };
+    hooks.exchange = [this](const std::string &address, const exchange_request &request, exchange_handler handler) {
+        m_core.peers.exchange(address, request, clock_ms{ exchangeTimeout }, std::move(handler));
+    };
+    return hooks;
+}
+
+void daemon_process::startListeners()
+{
+    const daemon_settings &settings = m_core.settings;
+    const http_limits limits = listenerLimits(settings);
+    const auto malformed = [this](outcome_reason reason) { return m_entry.malformed(reason); };
+    m_peerServer = std::make_unique<peer_server>(settings.peerAddress, settings.maxBodyBytes + messageOverhead, peerHooks());
+    const auto local = [this](http_request request, std::shared_ptr<http_exchange> exchange) { m_entry.handleLocal(std::move(request), std::move(exchange)); };
+    m_local = std::make_unique<http_server>(m_context, settings.localAddress, limits, local, malformed);
+    const auto admin = [this](const http_request &request, const std::shared_ptr<http_exchange> &exchange) { handleAdmin(request, exchange); };
+    m_admin = std::make_unique<http_server>(m_context, settings.adminAddress, limits, admin, malformed);
+    if (!settings.edgeAddress.empty()) {
+        const auto edge
+            = [this](http_request request, std::shared_ptr<http_exchange> exchange) { m_entry.handleEdge(std::move(request), std::move(exchange)); };
+        m_edge = std::make_unique<http_server>(m_context, settings.edgeAddress, limits, edge, malformed);
+    }
+}
+
+peer_server_hooks daemon_process::peerHooks()
+{
+    peer_server_hooks hooks;
+    hooks.call = [this](peer_call call, const std::function<void(peer_reply)> &handler) { return m_gate.handle(std::move(call), handler); };
+    hooks.voidTicket = [this](std::string_view text) { return voidTicketHere(m_core, text); };
+    hooks.exchange = [this](const exchange_request &request) { return m_fleet->answerExchange(request); };
+    hooks.ask = [](const std::string &, clock_ms, const std::function<void(std::string)> &handler) { handler("{}"); };
+    return hooks;
+}
+
+void daemon_process::policyChanged(const std::shared_ptr<const policy_set> &policies)
+{
+    m_core.policies.publish(policies);
+    m_gate.setRanks(policies->ranks());
+}
+
+void daemon_process::viewChanged(const std::vector<member_record> &view)
+{
+    const std::lock_guard lock(m_viewMutex);
+    const clock_ms now = steadyNow();
+    m_core.routes.setUpstreams(m_upstreams.update(view, now), now);
+}
+
+void daemon_process::backendChanged(const backend_server &before, const backend_server &after)
+{
+    m_gate.backendChanged(before, after);
+    m_fleet->setServer(after.service, after.state, after.slots);
+}
+
+void daemon_process::gateRefused(const call_request &, const gate_decision &, const gate_snapshot &) { }
+
+void daemon_process::entryRefused(const call_request &, const refusal_detail &) { }
+
+void daemon_process::handleAdmin(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned unavailable = 503;
+    constexpr unsigned notFound = 404;
+    if (request.target == "/metrics") {
+        updateGauges(steadyNow());
+        http_response response;
+        response.headers.push_back({ "content-type", "text/plain; version=0.0.4" });
+        response.body = m_core.metrics.exposition();
+        exchange->respond(std::move(response));
+    } else if (request.target == "/ready") {
+        const bool ready = isReady();
+        exchange->respond(makeJsonResponse(ready ? ok : unavailable, ready ? R"({"ready":true})" : R"({"ready":false})"));
+    } else {
+        exchange->respond(makeJsonResponse(notFound, R"({"error":"no_such_page"})"));
+    }
+}
+
+bool daemon_process::isReady() const
+{
+    return !m_core.stopping && !m_core.policies.load()->ranks().empty();
+}
+
+bool daemon_process::isQuiet() const
+{
+    return m_core.dispatched == 0 && m_gate.calls() == 0;
+}
+
+void daemon_process::drain(std::function<void()> done)
+{
+    logEvent(log_level::info, "daemon_leaving", { { "in_flight", static_cast<std::uint64_t>(m_gate.calls()) } });
+    m_core.stopping = true;
+    m_fleet->leave();
+    m_gate.drain();
+    if (m_edge) {
+        m_edge->drain();
+    }
+    waitUntilQuiet(steadyNow(), std::move(done));
+}
+
+void daemon_process::waitUntilQuiet(clock_ms since, std::function<void()> done)
+{
+    const clock_ms waited = steadyNow() - since;
+    const bool noticeGiven = waited >= clock_ms{ leaveNotice };
+    if ((noticeGiven && isQuiet()) || waited >= m_core.settings.stopTimeout) {
+        logEvent(log_level::info, "daemon_quiet", { { "waited_ms", waited.count }, { "in_flight", static_cast<std::uint64_t>(m_gate.calls()) } });
+        done();
+        return;
+    }
+    m_drainTimer.expires_after(std::chrono::milliseconds(quietCheck));
+    m_drainTimer.async_wait([this, since, done = std::move(done)](boost::system::error_code cancelled) mutable {
+        if (!cancelled) {
+            waitUntilQuiet(since, std::move(done));
+        }
+    });
+}
+
+void daemon_process::stop()
+{
+    m_ended = true;
+    m_peerServer->stop(clock_ms{ shutdownGrace });
+    m_fleet->stop();
+    m_core.peers.stop();
+    m_local->drain();
+    m_admin->drain();
+    m_gateTimer.cancel();
+    m_housekeepingTimer.cancel();
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/daemon/daemon_ticks.cpp
@@ -0,0 +1,66 @@
+/** @file daemon_ticks.cpp What a daemon does by the clock. */
+
+#include "core/invariant_func.h"
+#include "daemon/daemon_base.h"
+
+namespace cicadamux {
+
+namespace {
+constexpr std::int64_t gatePeriod = 5; // Milliseconds.
+constexpr std::int64_t housekeepingPeriod = 250; // Milliseconds.
+} // namespace
+
+void daemon_process::gateTick()
+{
+    if (m_ended) {
+        return;
+    }
+    m_gate.tick(steadyNow());
+    m_gateTimer.expires_after(std::chrono::milliseconds(gatePeriod));
+    m_gateTimer.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            gateTick();
+        }
+    });
+}
+
+void daemon_process::housekeepingTick()
+{
+    if (m_ended) {
+        return;
+    }
+    const clock_ms now = steadyNow();
+    m_backend.tick(now);
+    m_core.tickets.tick(wallNow());
+    m_core.peers.dropUnused(now);
+    m_housekeepingTimer.expires_after(std::chrono::milliseconds(housekeepingPeriod));
+    m_housekeepingTimer.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            housekeepingTick();
+        }
+    });
+}
+
+void daemon_process::updateGauges(clock_ms now)
+{
+    const gate_snapshot gate = m_gate.snapshot(now);
+    m_core.metrics.setGauge("gate_limit", gate.limit);
+    m_core.metrics.setGauge("gate_in_use", gate.inUse);
+    m_core.metrics.setGauge("gate_waiting", gate.waiting);
+    m_core.metrics.setGauge("gate_level_rank", gate.level.rank.value);
+    m_core.metrics.setGauge("gate_level_sub", gate.level.subLevel);
+    m_core.metrics.setGauge("calls_held", static_cast<double>(m_core.held.size()));
+    m_core.metrics.setGauge("members", static_cast<double>(m_fleet->view()->size()));
+    const fleet_counters counters = m_fleet->counters();
+    m_core.metrics.setGauge("gossip_bytes_sent", static_cast<double>(counters.gossipBytesSent));
+    m_core.metrics.setGauge("gossip_bytes_received", static_cast<double>(counters.gossipBytesReceived));
+    m_core.metrics.setGauge("exchanges", static_cast<double>(counters.exchanges));
+    m_core.metrics.setGauge("platform_calls", static_cast<double>(counters.platformCalls));
+    m_core.metrics.setGauge("stale_offers", static_cast<double>(counters.staleOffers));
+    for (std::size_t index = 0; index < static_cast<std::size_t>(invariant::count); ++index) {
+        const auto which = static_cast<invariant>(index);
+        m_core.metrics.setGauge("violations_" + std::string(toString(which)), static_cast<double>(invariantViolations(which)));
+    }
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/daemon/upstream_list.cpp
@@ -0,0 +1,39 @@
+/** @file upstream_list.cpp Turns the view of the members into upstreams. */
+
+#include "daemon/upstream_list_base.h"
+
+namespace cicadamux {
+
+std::vector<upstream> upstream_list::update(std::span<const member_record> view, clock_ms now)
+{
+    std::vector<upstream> upstreams;
+    std::map<std::string, known_server> kept;
+    for (const member_record &record : view) {
+        if (record.server == server_state::absent || record.state == member_state::dead) {
+            continue;
+        }
+        upstream known;
+        known.service = record.service;
+        known.host = record.host;
+        known.dataCenter = record.dataCenter;
+        known.peerAddress = record.peerAddress;
+        known.incarnation = record.incarnation;
+        known.slots = record.slots;
+        known.draining = record.server == server_state::draining || record.state == member_state::leaving;
+        known.servingSince = servingSince(record, now, kept);
+        upstreams.push_back(std::move(known));
+    }
+    m_known = std::move(kept);
+    return upstreams;
+}
+
+clock_ms upstream_list::servingSince(const member_record &record, clock_ms now, std::map<std::string, known_server> &kept) const
+{
+    const auto before = m_known.find(record.host);
+    const bool isSame = before != m_known.end() && before->second.incarnation == record.incarnation && before->second.service == record.service;
+    const clock_ms since = isSame ? before->second.servingSince : now - record.servingFor;
+    kept[record.host] = { record.incarnation, record.service, since };
+    return since;
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/daemon/upstream_list_base.h
@@ -0,0 +1,36 @@
+/** @file upstream_list_base.h Turns the view of the members into the upstreams that routing chooses from. */
+
+#pragma once
+
+#include "membership/member_type.h"
+#include "routing/router_base.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cicadamux {
+
+/** Remembers since when each upstream serves, since a record only says for how long it had when it was made. Not thread-safe. */
+class upstream_list
+{
+public:
+    /** @return The upstreams of a view; members without a backend server are left out. */
+    std::vector<upstream> update(std::span<const member_record> view, clock_ms now);
+
+private:
+    struct known_server {
+        incarnation_id incarnation;
+        std::string service;
+        clock_ms servingSince;
+
+        bool operator==(const known_server &) const = default;
+    };
+
+    clock_ms servingSince(const member_record &record, clock_ms now, std::map<std::string, known_server> &kept) const;
+
+    std::map<std::string, known_server> m_known; ///< By host.
+};
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,337 @@
+/** @file http_client.cpp Pooled HTTP/1.1 connections to one server. */
+
+#include "http/http_client_base.h"
+
+#include "http/http_endpoint_func.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace cicadamux {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::int64_t connectTimeout = 1'000; // Milliseconds.
+
+std::vector<http_field> copyHeaders(const http::fields &fields)
+{
+    std::vector<http_field> headers;
+    for (const auto &field : fields) {
+        if (field.name() == http::field::content_length || field.name() == http::field::transfer_encoding) {
+            continue;
+        }
+        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+    return headers;
+}
+
+class client_connection;
+
+/** The connections of one client. */
+struct client_pool {
+    std::mutex mutex;
+    std::vector<std::shared_ptr<client_connection>> idle; ///< The last used one is used first.
+    std::atomic<std::uint32_t> open{ 0 };
+    bool closed = false;
+};
+
+/** One connection; carries one request at a time. */
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    client_connection(boost::asio::io_context &context, tcp::endpoint endpoint, http_limits limits, std::shared_ptr<client_pool> pool)
+        : m_stream(boost::asio::make_strand(context))
+        , m_endpoint(std::move(endpoint))
+        , m_limits(limits)
+        , m_pool(std::move(pool))
+    {
+    }
+
+    ~client_connection()
+    {
+        m_pool->open.fetch_sub(1);
+    }
+
+    client_connection(const client_connection &) = delete;
+    client_connection &operator=(const client_connection &) = delete;
+
+    /** Sends one request; connects first if needed. */
+    void start(http_request request, http_result_handler handler)
+    {
+        boost::asio::dispatch(m_stream.get_executor(), [self = shared_from_this(), request = std::move(request), handler = std::move(handler)]() mutable {
+            self->begin(std::move(request), std::move(handler));
+        });
+    }
+
+    /** Drops the request and the connection. */
+    void abandon()
+    {
+        boost::asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] {
+            self->m_handler = nullptr;
+            self->m_stream.close();
+        });
+    }
+
+    /** @return Whether the server has neither closed the idle connection nor sent anything on it. */
+    bool isQuiet()
+    {
+        char byte = 0;
+        beast::error_code failure;
+        m_stream.socket().non_blocking(true, failure);
+        m_stream.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+        return failure == boost::asio::error::would_block;
+    }
+
+private:
+    void begin(http_request request, http_result_handler handler)
+    {
+        m_handler = std::move(handler);
+        fill(std::move(request));
+        if (m_connected) {
+            write();
+            return;
+        }
+        m_stream.expires_after(std::chrono::milliseconds(connectTimeout));
+        m_stream.async_connect(m_endpoint, [self = shared_from_this()](beast::error_code failure) { self->handleConnected(failure); });
+    }
+
+    void fill(http_request request)
+    {
+        m_request = http::request<http::string_body>();
+        m_request.method_string(request.method);
+        m_request.target(request.target);
+        m_request.set(http::field::host, "backend");
+        for (const http_field &field : request.headers) {
+            m_request.insert(field.name, field.value);
+        }
+        m_request.body() = std::move(request.body);
+        m_request.keep_alive(true);
+        m_request.prepare_payload();
+    }
+
+    void handleConnected(beast::error_code failure)
+    {
+        if (failure) {
+            finish({ http_failure::no_connection, {} });
+            return;
+        }
+        m_connected = true;
+        beast::error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        write();
+    }
+
+    void write()
+    {
+        m_stream.expires_never();
+        http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code failure, std::size_t) {
+            if (failure) {
+                self->finish({ http_failure::lost, {} });
+                return;
+            }
+            self->read();
+        });
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+        m_parser->body_limit(m_limits.maxBodyBytes);
+        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) { self->handleRead(failure); });
+    }
+
+    void handleRead(beast::error_code failure)
+    {
+        if (failure) {
+            const bool nothingCame = !m_parser->got_some();
+            finish({ nothingCame ? http_failure::lost : http_failure::broken_answer, {} });
+            return;
+        }
+        if (m_parser->need_eof()) {
+            finish({ http_failure::broken_answer, {} });
+            return;
+        }
+        const bool reusable = m_parser->keep_alive() && m_buffer.size() == 0;
+        auto message = m_parser->release();
+        http_result result;
+        result.response.status = message.result_int();
+        result.response.headers = copyHeaders(message);
+        result.response.body = std::move(message.body());
+        finishWhole(std::move(result), reusable);
+    }
+
+    void finishWhole(http_result result, bool reusable)
+    {
+        const auto handler = std::exchange(m_handler, nullptr);
+        const bool kept = reusable && handler && returnToPool();
+        if (!kept) {
+            m_stream.close();
+        }
+        if (handler) {
+            handler(std::move(result));
+        }
+    }
+
+    void finish(http_result result)
+    {
+        m_stream.close();
+        const auto handler = std::exchange(m_handler, nullptr);
+        if (handler) {
+            handler(std::move(result));
+        }
+    }
+
+    bool returnToPool()
+    {
+        const std::lock_guard lock(m_pool->mutex);
+        if (m_pool->closed) {
+            return false;
+        }
+        m_pool->idle.push_back(shared_from_this());
+        return true;
+    }
+
+    beast::tcp_stream m_stream;
+    tcp::endpoint m_endpoint;
+    http_limits m_limits;
+    std::shared_ptr<client_pool> m_pool;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    http::request<http::string_body> m_request;
+    http_result_handler m_handler;
+    bool m_connected = false;
+};
+
+/** Lets the owner of a request abandon it; a connection that already carries another request is left alone. */
+class pending_request : public http_pending
+{
+public:
+    explicit pending_request(const std::shared_ptr<client_connection> &connection)
+        : m_connection(connection)
+    {
+    }
+
+    void abandon() override
+    {
+        if (m_ended->exchange(true)) {
+            return;
+        }
+        if (const auto connection = m_connection.lock()) {
+            connection->abandon();
+        }
+    }
+
+    std::shared_ptr<std::atomic<bool>> ended()
+    {
+        return m_ended;
+    }
+
+private:
+    std::weak_ptr<client_connection> m_connection;
+    std::shared_ptr<std::atomic<bool>> m_ended = std::make_shared<std::atomic<bool>>(false);
+};
+
+} // namespace
+
+struct http_client::state {
+    state(boost::asio::io_context &ioContext, tcp::endpoint server, http_limits bounds)
+        : context(ioContext)
+        , endpoint(std::move(server))
+        , limits(bounds)
+        , pool(std::make_shared<client_pool>())
+    {
+    }
+
+    std::shared_ptr<client_connection> takeIdle()
+    {
+        while (true) {
+            std::shared_ptr<client_connection> candidate;
+            {
+                const std::lock_guard lock(pool->mutex);
+                if (pool->idle.empty()) {
+                    return nullptr;
+                }
+                candidate = std::move(pool->idle.back());
+                pool->idle.pop_back();
+            }
+            if (candidate->isQuiet()) {
+                return candidate;
+            }
+        }
+    }
+
+    std::shared_ptr<client_connection> makeConnection()
+    {
+        std::uint32_t open = pool->open.load();
+        do {
+            if (open >= limits.maxConnections) {
+                return nullptr;
+            }
+        } while (!pool->open.compare_exchange_weak(open, open + 1));
+        return std::make_shared<client_connection>(context, endpoint, limits, pool);
+    }
+
+    boost::asio::io_context &context;
+    tcp::endpoint endpoint;
+    http_limits limits;
+    std::shared_ptr<client_pool> pool;
+};
+
+http_client::http_client(boost::asio::io_context &context, std::string_view address, http_limits limits)
+    : m_state(std::make_shared<state>(context, detail::parseEndpoint(address), limits))
+{
+}
+
+http_client::~http_client()
+{
+    close();
+}
+
+std::shared_ptr<http_pending> http_client::send(http_request request, http_result_handler handler)
+{
+    auto connection = m_state->takeIdle();
+    if (!connection) {
+        connection = m_state->makeConnection();
+    }
+    if (!connection) {
+        boost::asio::post(m_state->context, [handler = std::move(handler)] { handler({ http_failure::no_connection, {} }); });
+        return std::make_shared<pending_request>(nullptr);
+    }
+    const auto pending = std::make_shared<pending_request>(connection);
+    connection->start(std::move(request), [ended = pending->ended(), handler = std::move(handler)](http_result result) {
+        if (!ended->exchange(true)) {
+            handler(std::move(result));
+        }
+    });
+    return pending;
+}
+
+std::uint32_t http_client::connections() const
+{
+    return m_state->pool->open.load();
+}
+
+void http_client::close()
+{
+    std::vector<std::shared_ptr<client_connection>> idle;
+    {
+        const std::lock_guard lock(m_state->pool->mutex);
+        m_state->pool->closed = true;
+        idle.swap(m_state->pool->idle);
+    }
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/http/http_endpoint_func.h
@@ -0,0 +1,21 @@
+/** @file http_endpoint_func.h Addresses as Asio's endpoints. */
+
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace cicadamux::detail {
+
+/**
+ * Parses `IP:port` or `[IP]:port`.
+ * @throws address_error
+ */
+boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view address);
+
+/** Writes what parseEndpoint() reads. */
+std::string formatEndpoint(const boost::asio::ip::tcp::endpoint &endpoint);
+
+} // namespace cicadamux::detail
--- /dev/null
+++ b/src/http/http_headers.cpp
@@ -0,0 +1,55 @@
+/** @file http_headers.cpp Rules on headers. */
+
+#include "http/http_type.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cicadamux {
+
+namespace {
+constexpr std::string_view reservedPrefix = "cicadamux-";
+
+char lower(char character)
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+}
+} // namespace
+
+bool sameHeaderName(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right, {}, lower, lower);
+}
+
+std::optional<std::string_view> findHeader(std::span<const http_field> headers, std::string_view name)
+{
+    for (const http_field &field : headers) {
+        if (sameHeaderName(field.name, name)) {
+            return field.value;
+        }
+    }
+    return std::nullopt;
+}
+
+bool isHopByHop(std::string_view name)
+{
+    constexpr std::array<std::string_view, 9> names = {
+        "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "proxy-authorization", "proxy-connection",
+    };
+    return std::ranges::any_of(names, [name](std::string_view hopByHop) { return sameHeaderName(name, hopByHop); });
+}
+
+bool isReservedHeader(std::string_view name)
+{
+    return name.size() >= reservedPrefix.size() && sameHeaderName(name.substr(0, reservedPrefix.size()), reservedPrefix);
+}
+
+std::vector<http_field> forwardableHeaders(std::span<const http_field> headers)
+{
+    std::vector<http_field> kept;
+    kept.reserve(headers.size());
+    std::ranges::copy_if(headers, std::back_inserter(kept), [](const http_field &field) { return !isHopByHop(field.name) && !isReservedHeader(field.name); });
+    return kept;
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/http/http_server_base.h
@@ -0,0 +1,52 @@
+/** @file http_server_base.h An HTTP/1.1 listener by Beast. */
+
+#pragma once
+
+#include "core/error_type.h"
+#include "http/http_type.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cicadamux {
+
+/** An address can't be bound or isn't `IP:port`. */
+class address_error : public error
+{
+public:
+    using error::error;
+};
+
+/** Accepts connections and hands over whole requests, one at a time for each connection. */
+class http_server
+{
+public:
+    /**
+     * Binds and begins to accept.
+     * @param address `IP:port`; port 0 takes a free one.
+     * @throws address_error
+     */
+    http_server(boost::asio::io_context &context, std::string_view address, http_limits limits, http_handler handler, http_malformed malformed);
+    ~http_server();
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+
+    /** @return `IP:port` as bound. */
+    std::string boundAddress() const;
+
+    /** Accepts no more connections; those that are there are closed after their next answer, idle ones at once. */
+    void drain();
+
+    /** @return Connections now open. */
+    std::uint32_t connections() const;
+
+private:
+    struct state;
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/peer/peer_type.h
@@ -0,0 +1,52 @@
+/** @file peer_type.h What daemons say to each other about calls. */
+
+#pragma once
+
+#include "admission/level_board_base.h"
+#include "request/call_type.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cicadamux {
+
+/** A call as it is sent to a gate. */
+struct peer_call {
+    call_request request;
+    call_id attempt; ///< Echoed in the reply.
+    incarnation_id homeIncarnation; ///< Life of the daemon that is meant.
+};
+
+/** A gate's reply to a call. */
+struct peer_reply {
+    call_id attempt;
+    call_result result;
+    std::vector<heard_level> levels; ///< Of this gate and of those that it has heard of.
+    std::uint32_t inUse = 0; ///< Slots in use.
+    std::uint32_t waiting = 0; ///< Calls in the queue.
+    std::uint32_t limit = 0; ///< Concurrency limit.
+};
+
+/** How a message to a peer ended. */
+enum class peer_failure : std::uint8_t {
+    none,
+    not_sent, ///< It surely never left this host.
+    lost ///< It may have arrived; there was no reply in time, or a reply to something else.
+};
+
+using peer_reply_handler = std::function<void(peer_failure failure, peer_reply reply)>;
+
+/** A message on its way. */
+class peer_pending
+{
+public:
+    virtual ~peer_pending() = default;
+
+    /** Cancels the message at both ends; the handler is still called. */
+    virtual void cancel() = 0;
+};
+
+} // namespace cicadamux
