--- /dev/null
+++ b/src/retry/caller_budget.cpp
@@ -0,0 +1,115 @@
+/** @file caller_budget.cpp Ratio budget of retries from outside, in the manner of the SRE book's client-side retry budget (ch. 21). */
+
+#include "retry/caller_budget_base.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <array>
+#include <list>
+#include <mutex>
+#include <unordered_map>
+
+namespace cicadamux {
+
+namespace {
+constexpr std::size_t shardCount = 16; ///< Locks.
+constexpr std::size_t maxCallers = 1'024; ///< Of a shard; the one that was quiet longest is forgotten first.
+constexpr std::size_t maxRequests = 4'096; ///< Unanswered requests of a shard; the oldest is forgotten first.
+constexpr clock_ms unansweredLifetime{ 10'000 }; ///< Time in which the same request counts as a repeat.
+constexpr std::uint32_t repeatCost = 100; ///< Credit that one repeat costs.
+constexpr std::uint32_t firstAttemptCredit = 10; ///< Credit that one first attempt earns: 10 repeats in 100 first attempts.
+constexpr std::uint32_t initialCredit = 3 * repeatCost; ///< Of a caller not seen lately.
+constexpr std::uint32_t maxCredit = 20 * repeatCost; ///< What a caller can save up.
+
+/** A bounded map that forgets the entry which was touched longest ago. */
+template <typename Value>
+class bounded_map
+{
+public:
+    explicit bounded_map(std::size_t capacity)
+        : m_capacity(capacity)
+    {
+    }
+
+    Value *find(std::uint64_t key)
+    {
+        const auto found = m_index.find(key);
+        return found == m_index.end() ? nullptr : &found->second->second;
+    }
+
+    /** Finds or makes an entry, and counts as a touch. */
+    Value &touch(std::uint64_t key, const Value &initial)
+    {
+        const auto found = m_index.find(key);
+        if (found != m_index.end()) {
+            m_entries.splice(m_entries.begin(), m_entries, found->second);
+            return found->second->second;
+        }
+        if (m_index.size() >= m_capacity) {
+            m_index.erase(m_entries.back().first);
+            m_entries.pop_back();
+        }
+        m_entries.emplace_front(key, initial);
+        m_index[key] = m_entries.begin();
+        return m_entries.front().second;
+    }
+
+private:
+    using entry_list = std::list<std::pair<std::uint64_t, Value>>;
+
+    std::size_t m_capacity;
+    entry_list m_entries; ///< The entry touched last in front.
+    std::unordered_map<std::uint64_t, typename entry_list::iterator> m_index;
+};
+
+struct budget_shard {
+    std::mutex mutex;
+    bounded_map<std::uint32_t> credits{ maxCallers }; ///< By caller.
+    bounded_map<clock_ms> unanswered{ maxRequests }; ///< When it was last noted, by caller and request.
+};
+
+bool isRepeat(budget_shard &shard, std::uint64_t request, clock_ms now)
+{
+    const clock_ms *noted = shard.unanswered.find(request);
+    return noted != nullptr && now - *noted < unansweredLifetime;
+}
+} // namespace
+
+struct caller_budget::state {
+    std::array<budget_shard, shardCount> shards;
+};
+
+caller_budget::caller_budget()
+    : m_state(std::make_unique<state>())
+{
+}
+
+caller_budget::~caller_budget() = default;
+
+bool caller_budget::admit(std::string_view caller, std::uint64_t requestHash, clock_ms now)
+{
+    const std::uint64_t callerHash = hashBytes(caller);
+    budget_shard &shard = m_state->shards.at(callerHash % shardCount);
+    const std::lock_guard lock(shard.mutex);
+    std::uint32_t &credit = shard.credits.touch(callerHash, initialCredit);
+    if (!isRepeat(shard, hashNumber(requestHash, callerHash), now)) {
+        credit = std::min(credit + firstAttemptCredit, maxCredit);
+        return true;
+    }
+    if (credit < repeatCost) {
+        return false;
+    }
+    credit -= repeatCost;
+    return true;
+}
+
+void caller_budget::noteUnanswered(std::string_view caller, std::uint64_t requestHash, clock_ms now)
+{
+    const std::uint64_t callerHash = hashBytes(caller);
+    budget_shard &shard = m_state->shards.at(callerHash % shardCount);
+    const std::lock_guard lock(shard.mutex);
+    shard.unanswered.touch(hashNumber(requestHash, callerHash), now) = now;
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/routing/upstream_choice.cpp
@@ -0,0 +1,123 @@
+/** @file upstream_choice.cpp Own data centre first, then spill-over; two weighted random choices by load (Mitzenmacher, 2001). */
+
+#include "routing/upstream_choice_func.h"
+
+#include <boost/container/small_vector.hpp>
+
+#include <algorithm>
+
+namespace cicadamux::detail {
+
+namespace {
+constexpr double slowStartFloor = 0.1; ///< Weight of an upstream that has just started.
+constexpr std::size_t usualCandidates = 32; ///< Held without allocation.
+
+struct candidate {
+    const routed_upstream *subject = nullptr;
+    double weight = 1.0;
+    double load = 0.0; ///< For each slot, raised where the weight is low.
+};
+
+using candidate_list = boost::container::small_vector<candidate, usualCandidates>;
+
+/** Which upstreams of a list are considered. */
+enum class candidate_filter : std::uint8_t { with_room, healthy, any };
+
+bool isExcluded(const routed_upstream &subject, const choice_request &request)
+{
+    return std::ranges::find(request.excluded, subject.subject.host) != request.excluded.end();
+}
+
+void collect(
+    const service_view &service, const std::vector<std::uint32_t> &indices, candidate_filter filter, const choice_request &request, candidate_list &candidates)
+{
+    for (const std::uint32_t index : indices) {
+        const routed_upstream &subject = service.all[index];
+        const load_estimate load = subject.counters->load.estimate(subject.subject.slots, request.now);
+        const bool isEjected = subject.counters->health.isEjected();
+        if (isExcluded(subject, request) || (filter != candidate_filter::any && isEjected) || (filter == candidate_filter::with_room && load.isFull)) {
+            continue;
+        }
+        const double weight = slowStartWeight(subject.subject, request.slowStart, request.now);
+        candidates.push_back({ &subject, weight, load.perSlot / weight });
+    }
+}
+
+/** Takes one candidate out of the list, with a probability in proportion to its weight. */
+candidate drawOne(candidate_list &candidates, const random_source &random)
+{
+    double total = 0.0;
+    for (const candidate &each : candidates) {
+        total += each.weight;
+    }
+    constexpr double range = 18446744073709551616.0; // 2^64
+    double mark = static_cast<double>(random()) / range * total;
+    std::size_t position = 0;
+    while (position + 1 < candidates.size() && mark >= candidates[position].weight) {
+        mark -= candidates[position].weight;
+        ++position;
+    }
+    const candidate drawn = candidates[position];
+    candidates[position] = candidates.back();
+    candidates.pop_back();
+    return drawn;
+}
+
+const routed_upstream *chooseOfTwo(candidate_list &candidates, const random_source &random)
+{
+    const candidate first = drawOne(candidates, random);
+    if (candidates.empty()) {
+        return first.subject;
+    }
+    const candidate second = drawOne(candidates, random);
+    return second.load < first.load ? second.subject : first.subject;
+}
+
+/** @return An ejected upstream whose turn it is to be probed. Only first attempts probe. */
+const routed_upstream *claimProbe(const service_view &service, const choice_request &request)
+{
+    if (!request.excluded.empty()) {
+        return nullptr;
+    }
+    for (const std::vector<std::uint32_t> *indices : { &service.near, &service.far }) {
+        for (const std::uint32_t index : *indices) {
+            if (service.all[index].counters->health.claimProbe(request.now)) {
+                return &service.all[index];
+            }
+        }
+    }
+    return nullptr;
+}
+} // namespace
+
+double slowStartWeight(const upstream &subject, clock_ms slowStart, clock_ms now)
+{
+    const clock_ms age = now - subject.servingSince;
+    if (slowStart.count <= 0 || age >= slowStart) {
+        return 1.0;
+    }
+    const double part = std::max(0.0, static_cast<double>(age.count) / static_cast<double>(slowStart.count));
+    return slowStartFloor + (1.0 - slowStartFloor) * part;
+}
+
+const routed_upstream *chooseUpstream(const service_view &service, const choice_request &request)
+{
+    if (const routed_upstream *probe = claimProbe(service, request)) {
+        return probe;
+    }
+    candidate_list candidates;
+    for (const candidate_filter filter : { candidate_filter::with_room, candidate_filter::healthy, candidate_filter::any }) {
+        for (const std::vector<std::uint32_t> *indices : { &service.near, &service.far, &service.others }) {
+            if (indices == &service.others && filter == candidate_filter::with_room) {
+                continue;
+            }
+            collect(service, *indices, filter, request, candidates);
+            if (!candidates.empty()) {
+                return chooseOfTwo(candidates, request.random);
+            }
+        }
+    }
+    return nullptr;
+}
+
+} // namespace cicadamux::detail
--- /dev/null
+++ b/src/routing/upstream_choice_func.h
@@ -0,0 +1,25 @@
+/** @file upstream_choice_func.h The choice among the upstreams of one service. Private to routing. */
+
+#pragma once
+
+#include "routing/routing_view_type.h"
+
+#include <span>
+#include <string>
+
+namespace cicadamux::detail {
+
+struct choice_request {
+    std::span<const std::string> excluded; ///< Hosts already tried.
+    clock_ms now;
+    clock_ms slowStart; ///< From the settings.
+    const random_source &random;
+};
+
+/** @return Part of its full share that an upstream gets, from slowStartFloor to 1. */
+double slowStartWeight(const upstream &subject, clock_ms slowStart, clock_ms now);
+
+/** @return Nothing if each upstream is draining or excluded. */
+const routed_upstream *chooseUpstream(const service_view &service, const choice_request &request);
+
+} // namespace cicadamux::detail
--- /dev/null
+++ b/src/ticket/ticket.cpp
@@ -0,0 +1,192 @@
+/** @file ticket.cpp Text form of tickets: a fixed binary layout and its HMAC-SHA256, in base64url. */
+
+#include "ticket/ticket_func.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+#include <cstring>
+#include <optional>
+
+namespace cicadamux {
+
+namespace {
+constexpr std::uint8_t layoutVersion = 1;
+constexpr std::size_t macBytes = 32; ///< HMAC-SHA256.
+constexpr std::size_t numberBytes = 8;
+constexpr std::size_t maxNameBytes = 63; ///< Of a service or operation.
+constexpr std::size_t maxHostBytes = 190; ///< Keeps the text within maxTextLength.
+constexpr std::size_t maxTextLength = 512;
+constexpr unsigned byteBits = 8;
+constexpr unsigned sextetBits = 6;
+constexpr std::string_view sextetDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+
+std::string encodeBase64Url(std::string_view bytes)
+{
+    std::string text;
+    std::uint32_t pending = 0;
+    unsigned pendingBits = 0;
+    for (const char byte : bytes) {
+        pending = (pending << byteBits) | static_cast<unsigned char>(byte);
+        pendingBits += byteBits;
+        while (pendingBits >= sextetBits) {
+            pendingBits -= sextetBits;
+            text += sextetDigits[(pending >> pendingBits) & 0x3f];
+        }
+    }
+    if (pendingBits > 0) {
+        text += sextetDigits[(pending << (sextetBits - pendingBits)) & 0x3f];
+    }
+    return text;
+}
+
+std::optional<std::string> decodeBase64Url(std::string_view text)
+{
+    std::string bytes;
+    std::uint32_t pending = 0;
+    unsigned pendingBits = 0;
+    for (const char digit : text) {
+        const std::size_t value = sextetDigits.find(digit);
+        if (value == std::string_view::npos) {
+            return std::nullopt;
+        }
+        pending = (pending << sextetBits) | static_cast<std::uint32_t>(value);
+        pendingBits += sextetBits;
+        if (pendingBits >= byteBits) {
+            pendingBits -= byteBits;
+            bytes += static_cast<char>((pending >> pendingBits) & 0xff);
+        }
+    }
+    return bytes;
+}
+
+void appendNumber(std::string &bytes, std::uint64_t number)
+{
+    for (unsigned shift = 64; shift > 0; shift -= byteBits) {
+        bytes += static_cast<char>((number >> (shift - byteBits)) & 0xff);
+    }
+}
+
+void appendText(std::string &bytes, std::string_view text, std::size_t most)
+{
+    if (text.size() > most) {
+        throw ticket_error(outcome_reason::ticket_invalid, "a name in the ticket is too long");
+    }
+    bytes += static_cast<char>(text.size());
+    bytes += text;
+}
+
+std::string makeMac(std::string_view payload, std::string_view key)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> mac{};
+    unsigned length = 0;
+    const auto *data = reinterpret_cast<const unsigned char *>(payload.data());
+    if (HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), data, payload.size(), mac.data(), &length) == nullptr) {
+        throw ticket_error(outcome_reason::ticket_invalid, "the MAC can't be computed");
+    }
+    return { reinterpret_cast<const char *>(mac.data()), length };
+}
+
+[[noreturn]] void throwMalformed()
+{
+    throw ticket_error(outcome_reason::ticket_invalid, "the ticket is malformed");
+}
+
+/** Reads the fields of a payload from front to back. */
+class payload_reader
+{
+public:
+    explicit payload_reader(std::string_view payload)
+        : m_rest(payload)
+    {
+    }
+
+    std::string_view takeBytes(std::size_t count)
+    {
+        if (m_rest.size() < count) {
+            throwMalformed();
+        }
+        const std::string_view taken = m_rest.substr(0, count);
+        m_rest.remove_prefix(count);
+        return taken;
+    }
+
+    std::uint64_t takeNumber()
+    {
+        std::uint64_t number = 0;
+        for (const char byte : takeBytes(numberBytes)) {
+            number = (number << byteBits) | static_cast<unsigned char>(byte);
+        }
+        return number;
+    }
+
+    std::string takeText()
+    {
+        const auto length = static_cast<unsigned char>(takeBytes(1).front());
+        return std::string(takeBytes(length));
+    }
+
+    bool atEnd() const
+    {
+        return m_rest.empty();
+    }
+
+private:
+    std::string_view m_rest;
+};
+
+/** @return The payload of a text whose MAC is right. */
+std::string verifiedPayload(std::string_view text, std::string_view key)
+{
+    if (text.size() > maxTextLength) {
+        throwMalformed();
+    }
+    const std::optional<std::string> bytes = decodeBase64Url(text);
+    if (!bytes || bytes->size() <= macBytes || encodeBase64Url(*bytes) != text) {
+        throwMalformed();
+    }
+    std::string payload = bytes->substr(0, bytes->size() - macBytes);
+    const std::string expected = makeMac(payload, key);
+    if (CRYPTO_memcmp(expected.data(), bytes->data() + payload.size(), macBytes) != 0) {
+        throw ticket_error(outcome_reason::ticket_invalid, "the ticket's MAC is wrong");
+    }
+    return payload;
+}
+} // namespace
+
+std::string encodeTicket(const ticket &subject, std::string_view key)
+{
+    std::string bytes(1, static_cast<char>(layoutVersion));
+    appendNumber(bytes, subject.nonce);
+    appendNumber(bytes, subject.homeIncarnation.value);
+    appendNumber(bytes, static_cast<std::uint64_t>(subject.expiry.count));
+    appendText(bytes, subject.homeHost, maxHostBytes);
+    appendText(bytes, subject.service, maxNameBytes);
+    appendText(bytes, subject.operation, maxNameBytes);
+    bytes += makeMac(bytes, key);
+    return encodeBase64Url(bytes);
+}
+
+ticket decodeTicket(std::string_view text, std::string_view key)
+{
+    const std::string payload = verifiedPayload(text, key);
+    payload_reader reader(payload);
+    if (reader.takeBytes(1).front() != static_cast<char>(layoutVersion)) {
+        throwMalformed();
+    }
+    ticket subject;
+    subject.nonce = reader.takeNumber();
+    subject.homeIncarnation.value = reader.takeNumber();
+    subject.expiry.count = static_cast<std::int64_t>(reader.takeNumber());
+    subject.homeHost = reader.takeText();
+    subject.service = reader.takeText();
+    subject.operation = reader.takeText();
+    if (!reader.atEnd()) {
+        throwMalformed();
+    }
+    return subject;
+}
+
+} // namespace cicadamux
