Add: A stand-in of the platform with faults on command

The daemon's tests need the object API of docs/INTERFACE.md with outages on demand, as a process of its own. The server and client beside it are shared with the other stand-ins and the load tool.

--- /dev/null
+++ b/tests/standin/platform_standin_api.h
@@ -0,0 +1,85 @@
+/** @file platform_standin_api.h The object API over the stand-in's store, with faults on command. */
+
+#pragma once
+
+#include "standin/platform_standin_store.h"
+#include "support/http_server_base.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include <list>
+#include <memory>
+
+namespace cicadamux::test {
+
+/** Faults in force. All end by the `clear` command, those with an instant also by themselves. */
+struct platform_faults {
+    clock_ms downUntil; ///< Connections and requests are closed until then.
+    clock_ms slowUntil;
+    clock_ms delay; ///< Before each answer while slow.
+    std::uint32_t lostWriteAnswers = 0; ///< Writes yet to take effect and then lose their answer.
+    std::uint32_t duplicateAnswers = 0; ///< Answers yet to be sent twice.
+    std::uint32_t lateAnswers = 0; ///< Answers yet to be sent late.
+    clock_ms lateDelay; ///< How late.
+    std::optional<platform_store> staleCopy; ///< Answers reads instead of the store.
+};
+
+/** What has been asked so far. */
+struct platform_counters {
+    std::uint64_t gets = 0;
+    std::uint64_t lists = 0;
+    std::uint64_t watches = 0; ///< Watches begun.
+    std::uint64_t writes = 0; ///< Conditional writes and deletions, whatever their end.
+    std::uint64_t conflicts = 0;
+    std::uint64_t closed = 0; ///< Requests closed while down.
+    std::uint64_t maxPerSecond = 0; ///< Most calls in one second.
+};
+
+/**
+ * Serves docs/INTERFACE.md's object API and, at /control, the commands of a test:
+ * `POST /control` with {"fault": NAME, ...}, `GET /control` for counters. Single-threaded.
+ *
+ * Faults: down {for_ms}, slow {delay_ms, for_ms}, lost_write_answers {count}, stale_reads, close_watches,
+ * duplicate_answers {count}, late_answers {count, delay_ms}, save, restore (to what was saved), clear.
+ */
+class platform_api
+{
+public:
+    explicit platform_api(boost::asio::io_context &context);
+
+    void handle(const std::shared_ptr<http_exchange> &exchange);
+
+private:
+    struct waiting_watch {
+        std::shared_ptr<http_exchange> exchange;
+        std::string kind;
+        std::uint64_t cursor = 0;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    void handleControl(const std::shared_ptr<http_exchange> &exchange);
+    void applyFault(const boost::json::object &command);
+    void handleRead(const std::shared_ptr<http_exchange> &exchange, const std::string &kind, const std::string &name);
+    void handleWrite(const std::shared_ptr<http_exchange> &exchange, const std::string &kind, const std::string &name);
+    void handleWatch(const std::shared_ptr<http_exchange> &exchange, const std::string &kind, std::uint64_t cursor, clock_ms wait);
+    void endWatch(std::list<waiting_watch>::iterator watch);
+    void wakeWatches();
+    void closeWatches();
+    void respond(const std::shared_ptr<http_exchange> &exchange, unsigned status, const boost::json::object &body);
+    void send(const std::shared_ptr<http_exchange> &exchange, const http_message &answer);
+    void countCall();
+    const platform_store &readStore() const;
+    boost::json::object counters() const;
+
+    boost::asio::io_context &m_context;
+    platform_store m_store;
+    std::optional<platform_store> m_saved; ///< For `restore`.
+    platform_faults m_faults;
+    platform_counters m_counters;
+    std::list<waiting_watch> m_watches;
+    clock_ms m_second; ///< Start of the second that is counted.
+    std::uint64_t m_callsInSecond = 0;
+};
+
+} // namespace cicadamux::test
--- /dev/null
+++ b/tests/support/address_func.h
@@ -0,0 +1,28 @@
+/** @file address_func.h Loopback addresses of tests. */
+
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace cicadamux::test {
+
+/**
+ * Parses `IP:port`.
+ * @throws cicadamux::error if it isn't one.
+ */
+boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view address);
+
+/** @return The address as `IP:port`. */
+std::string formatEndpoint(const boost::asio::ip::tcp::endpoint &endpoint);
+
+/**
+ * Finds a loopback port that is free for TCP and UDP. Below the range of ephemeral ports, so that no
+ * outgoing connection takes it before it is bound.
+ * @return `127.0.0.1:port`.
+ */
+std::string freeAddress();
+
+} // namespace cicadamux::test
