--- a/src/retry/caller_budget.cpp
+++ b/src/retry/caller_budget.cpp
@@ -72,7 +72,7 @@
 bool isRepeat(budget_shard &shard, std::uint64_t request, clock_ms now)
 {
     const clock_ms *noted = shard.unanswered.find(request);
-    return noted != nullptr && (now - *noted).count < unansweredLifetime.count;
+    return noted != nullptr && now - *noted < unansweredLifetime;
 }
 } // namespace
 
