--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -47,6 +47,22 @@
     return subject.counters->health.ejectedUntil().count;
 }
 
+bool isIn(const std::vector<const routed_upstream *> &subset, const routed_upstream &subject)
+{
+    return std::ranges::any_of(subset, [&](const routed_upstream *each) { return each->counters == subject.counters; });
+}
+
+/** Ends the ejections of upstreams that this daemon doesn't route to any more; they count for no bound. */
+void readmitOutsideSubset(const service_view &service, clock_ms now)
+{
+    const std::vector<const routed_upstream *> subset = subsetOf(service);
+    for (const routed_upstream &each : service.all) {
+        if (each.counters->health.isEjected() && !isIn(subset, each)) {
+            each.counters->health.readmit(now);
+        }
+    }
+}
+
 /** Ends the ejections that are nearest to their end until the bound holds, after a subset has shrunk. */
 void readmitBeyondBound(const service_view &service, double part, clock_ms now)
 {
@@ -81,7 +97,16 @@
             return;
         }
         const std::vector<const routed_upstream *> subset = subsetOf(*known);
-        if (countEjected(subset) < mostEjected(subset.size(), settings.maxEjectedPart)) {
+        if (isIn(subset, outlier) && countEjected(subset) < mostEjected(subset.size(), settings.maxEjectedPart)) {
+            outlier.counters->health.eject(now);
+        }
+    }
+
+    /** Prolongs an ejection after a failed probe, unless a new table has ended it. */
+    void ejectAgain(const routed_upstream &outlier, clock_ms now)
+    {
+        const std::lock_guard lock(changes);
+        if (outlier.counters->health.isProbing(now)) {
             outlier.counters->health.eject(now);
         }
     }
@@ -100,7 +125,7 @@
             return;
         }
         if (failed) {
-            health.eject(now);
+            ejectAgain(subject, now);
         } else {
             health.readmit(now);
         }
@@ -122,6 +147,7 @@
     const std::shared_ptr<const routing_view> previous = m_state->view.load();
     const std::shared_ptr<const routing_view> replacement = detail::makeView(upstreams, *previous, m_state->settings);
     for (const auto &[name, service] : replacement->services) {
+        readmitOutsideSubset(service, now);
         readmitBeyondBound(service, m_state->settings.maxEjectedPart, now);
     }
     m_state->view.publish(replacement);
--- a/src/routing/upstream_choice.cpp
+++ b/src/routing/upstream_choice.cpp
@@ -1,4 +1,4 @@
-/** @file upstream_choice.cpp Own data centre first, then spill-over; two weighted random choices by load (Mitzenmacher, 2001). */
+/** @file upstream_choice.cpp Own data centre first, then spill-over; two random choices by load (Mitzenmacher, 2001). */
 
 #include "routing/upstream_choice_func.h"
 
@@ -14,49 +14,54 @@
 
 struct candidate {
     const routed_upstream *subject = nullptr;
-    double weight = 1.0;
-    double load = 0.0; ///< For each slot, raised where the weight is low.
+    double load = 0.0; ///< For each slot.
 };
 
 using candidate_list = boost::container::small_vector<candidate, usualCandidates>;
 
-/** Which upstreams of a list are considered. */
-enum class candidate_filter : std::uint8_t { with_room, healthy, any };
+/** Which upstreams of a list are considered: `ready` ones have room, and in slow start they take part in their share of the choices only. */
+enum class candidate_filter : std::uint8_t { ready, healthy, any };
 
 bool isExcluded(const routed_upstream &subject, const choice_request &request)
 {
     return std::ranges::find(request.excluded, subject.subject.host) != request.excluded.end();
 }
 
+/** @return A number from 0 to below 1. */
+double drawPart(const random_source &random)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    return static_cast<double>(random()) / range;
+}
+
+bool isReady(const routed_upstream &subject, const load_estimate &load, const choice_request &request)
+{
+    if (load.isFull) {
+        return false;
+    }
+    const double weight = slowStartWeight(subject.subject, request.slowStart, request.now);
+    return weight >= 1.0 || drawPart(request.random) < weight;
+}
+
 void collect(
     const service_view &service, const std::vector<std::uint32_t> &indices, candidate_filter filter, const choice_request &request, candidate_list &candidates)
 {
     for (const std::uint32_t index : indices) {
         const routed_upstream &subject = service.all[index];
-        const load_estimate load = subject.counters->load.estimate(subject.subject.slots, request.now);
-        const bool isEjected = subject.counters->health.isEjected();
-        if (isExcluded(subject, request) || (filter != candidate_filter::any && isEjected) || (filter == candidate_filter::with_room && load.isFull)) {
+        if (isExcluded(subject, request) || (filter != candidate_filter::any && subject.counters->health.isEjected())) {
             continue;
         }
-        const double weight = slowStartWeight(subject.subject, request.slowStart, request.now);
-        candidates.push_back({ &subject, weight, load.perSlot / weight });
+        const load_estimate load = subject.counters->load.estimate(subject.subject.slots, request.now);
+        if (filter != candidate_filter::ready || isReady(subject, load, request)) {
+            candidates.push_back({ &subject, load.perSlot });
+        }
     }
 }
 
-/** Takes one candidate out of the list, with a probability in proportion to its weight. */
+/** Takes one candidate out of the list at random. */
 candidate drawOne(candidate_list &candidates, const random_source &random)
 {
-    double total = 0.0;
-    for (const candidate &each : candidates) {
-        total += each.weight;
-    }
-    constexpr double range = 18446744073709551616.0; // 2^64
-    double mark = static_cast<double>(random()) / range * total;
-    std::size_t position = 0;
-    while (position + 1 < candidates.size() && mark >= candidates[position].weight) {
-        mark -= candidates[position].weight;
-        ++position;
-    }
+    const std::size_t position = random() % candidates.size();
     const candidate drawn = candidates[position];
     candidates[position] = candidates.back();
     candidates.pop_back();
@@ -106,9 +111,9 @@
         return probe;
     }
     candidate_list candidates;
-    for (const candidate_filter filter : { candidate_filter::with_room, candidate_filter::healthy, candidate_filter::any }) {
+    for (const candidate_filter filter : { candidate_filter::ready, candidate_filter::healthy, candidate_filter::any }) {
         for (const std::vector<std::uint32_t> *indices : { &service.near, &service.far, &service.others }) {
-            if (indices == &service.others && filter == candidate_filter::with_room) {
+            if (indices == &service.others && filter == candidate_filter::ready) {
                 continue;
             }
             collect(service, *indices, filter, request, candidates);
