--- /dev/null
+++ b/src/admission/level_board.cpp
@@ -0,0 +1,201 @@
+/** @file level_board.cpp What a daemon has heard of other gates' levels. */
+
+#include "admission/level_board_base.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace cicadamux {
+
+namespace {
+constexpr clock_ms levelLifetime{ 1'000 }; ///< An older level isn't believed.
+constexpr std::size_t shardCount = 16;
+constexpr std::size_t maxServicesPerShard = 64;
+constexpr std::size_t maxGatesPerService = 64;
+constexpr std::uint64_t probeSeed = 0x9b0be; ///< Keeps the choice of probes independent of sub-levels.
+constexpr std::uint64_t rootsPerProbe = 50; ///< One refused root in so many is let through.
+
+struct gate_entry {
+    std::string host;
+    gate_level level;
+    clock_ms measuredAt; ///< On this daemon's clock.
+};
+
+using gate_entries = std::vector<gate_entry>;
+
+struct board_shard {
+    mutable std::mutex mutex;
+    std::map<std::string, gate_entries, std::less<>> services;
+};
+
+bool isBelieved(const gate_entry &entry, clock_ms now)
+{
+    return now - entry.measuredAt < levelLifetime;
+}
+
+bool refuses(const gate_level &level, rank_id rank, std::uint16_t subLevel)
+{
+    if (!level.rank.isValid() || rank < level.rank) {
+        return false;
+    }
+    return rank > level.rank || subLevel >= level.subLevel;
+}
+
+bool isProbe(root_id root)
+{
+    return hashNumber(root.value, probeSeed) % rootsPerProbe == 0;
+}
+
+clock_ms youngest(const gate_entries &entries)
+{
+    clock_ms result;
+    for (const gate_entry &entry : entries) {
+        result = std::max(result, entry.measuredAt);
+    }
+    return result;
+}
+
+void makeRoom(board_shard &shard)
+{
+    if (shard.services.size() < maxServicesPerShard) {
+        return;
+    }
+    const auto oldest = std::ranges::min_element(shard.services, {}, [](const auto &service) { return youngest(service.second); });
+    shard.services.erase(oldest);
+}
+
+void keep(gate_entries &entries, gate_entry entry)
+{
+    const auto known = std::ranges::find(entries, entry.host, &gate_entry::host);
+    if (known != entries.end()) {
+        if (entry.measuredAt >= known->measuredAt) {
+            *known = std::move(entry);
+        }
+        return;
+    }
+    if (entries.size() < maxGatesPerService) {
+        entries.push_back(std::move(entry));
+        return;
+    }
+    const auto oldest = std::ranges::min_element(entries, {}, &gate_entry::measuredAt);
+    if (oldest->measuredAt < entry.measuredAt) {
+        *oldest = std::move(entry);
+    }
+}
+
+/** @return The least urgent rank admitted if all believed gates refuse, nothing otherwise. */
+std::optional<rank_id> refusedByAll(const gate_entries &entries, rank_id rank, std::uint16_t subLevel, clock_ms now)
+{
+    std::optional<rank_id> admitted;
+    for (const gate_entry &entry : entries) {
+        if (!isBelieved(entry, now)) {
+            continue;
+        }
+        if (!refuses(entry.level, rank, subLevel)) {
+            return std::nullopt;
+        }
+        admitted = admitted ? std::max(*admitted, entry.level.rank) : entry.level.rank;
+    }
+    return admitted;
+}
+
+bool isYounger(const heard_level &left, const heard_level &right)
+{
+    return left.age < right.age;
+}
+
+void keepYoungest(std::vector<heard_level> &heap, std::size_t most, const std::string &service, const gate_entry &entry, clock_ms now)
+{
+    const clock_ms age = now - entry.measuredAt;
+    if (heap.size() >= most) {
+        if (heap.front().age <= age) {
+            return;
+        }
+        std::ranges::pop_heap(heap, isYounger);
+        heap.pop_back();
+    }
+    heap.push_back({ service, entry.host, entry.level, age });
+    std::ranges::push_heap(heap, isYounger);
+}
+} // namespace
+
+struct level_board::state {
+    std::array<board_shard, shardCount> shards;
+
+    board_shard &shardOf(std::string_view service)
+    {
+        return shards.at(hashBytes(service) % shardCount);
+    }
+};
+
+level_board::level_board()
+    : m_state(std::make_unique<state>())
+{
+}
+
+level_board::~level_board() = default;
+
+void level_board::note(const heard_level &heard, clock_ms now)
+{
+    gate_entry entry{ heard.host, heard.level, now - std::max(heard.age, clock_ms{}) };
+    if (!isBelieved(entry, now)) {
+        return;
+    }
+    board_shard &shard = m_state->shardOf(heard.service);
+    const std::lock_guard lock(shard.mutex);
+    auto found = shard.services.find(heard.service);
+    if (found == shard.services.end()) {
+        makeRoom(shard);
+        found = shard.services.emplace(heard.service, gate_entries{}).first;
+    }
+    keep(found->second, std::move(entry));
+}
+
+early_refusal level_board::check(std::span<const std::string> services, rank_id rank, root_id root, bool isProtected, clock_ms now) const
+{
+    if (isProtected || isProbe(root)) {
+        return {};
+    }
+    const std::uint16_t subLevel = subLevelOf(root);
+    for (const std::string &service : services) {
+        const board_shard &shard = m_state->shardOf(service);
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.services.find(service);
+        if (found == shard.services.end()) {
+            continue;
+        }
+        const std::optional<rank_id> admitted = refusedByAll(found->second, rank, subLevel, now);
+        if (admitted) {
+            return { true, service, admitted->value };
+        }
+    }
+    return {};
+}
+
+std::vector<heard_level> level_board::known(clock_ms now, std::size_t most) const
+{
+    std::vector<heard_level> heap;
+    if (most == 0) {
+        return heap;
+    }
+    for (const board_shard &shard : m_state->shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[service, entries] : shard.services) {
+            for (const gate_entry &entry : entries) {
+                if (isBelieved(entry, now)) {
+                    keepYoungest(heap, most, service, entry, now);
+                }
+            }
+        }
+    }
+    std::ranges::sort_heap(heap, isYounger);
+    return heap;
+}
+
+} // namespace cicadamux
--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -12,7 +12,7 @@
 struct clock_ms {
     std::int64_t count = 0; ///< Milliseconds.
 
-    constexpr auto operator<=>(const clock_ms &) const = default;
+    constexpr auto operator<=>(const clock_ms &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14
 
     constexpr clock_ms operator+(clock_ms other) const
     {
--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -17,7 +17,7 @@
 struct typed_id {
     Representation value = invalidValue; ///< The raw identifier.
 
-    constexpr auto operator<=>(const typed_id &) const = default;
+    constexpr auto operator<=>(const typed_id &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14
 
     /** @return Whether this names something. */
     constexpr bool isValid() const
--- /dev/null
+++ b/tests/unit/admission_level_board_test.cpp
@@ -0,0 +1,90 @@
+/** @file admission_level_board_test.cpp Tests of early refusal by levels that were heard. */
+
+#include "admission/level_board_base.h"
+
+#include <doctest/doctest.h>
+
+using namespace cicadamux;
+
+namespace {
+constexpr rank_id lesserRank{ 2 };
+constexpr rank_id leastRank{ 3 };
+const std::vector<std::string> services = { "feebox", "pitchdesk" };
+
+heard_level heard(const std::string &host, rank_id rank, std::uint16_t subLevel, std::int64_t age = 0)
+{
+    return { "pitchdesk", host, { rank, subLevel }, clock_ms{ age } };
+}
+
+/** @return How many of 1000 roots are refused. */
+int refusedRoots(const level_board &board, rank_id rank, bool isProtected, clock_ms now)
+{
+    int refused = 0;
+    for (std::uint64_t root = 1; root <= 1000; ++root) {
+        refused += board.check(services, rank, root_id{ root }, isProtected, now).refused ? 1 : 0;
+    }
+    return refused;
+}
+} // namespace
+
+TEST_CASE("lesser work is refused early only while all believed gates of a service refuse it")
+{
+    level_board board;
+    const clock_ms now{ 5'000 };
+    CHECK(refusedRoots(board, leastRank, false, now) == 0);
+    board.note(heard("a", lesserRank, subLevelCount), now);
+    const int refused = refusedRoots(board, leastRank, false, now);
+    CHECK(refused >= 950);
+    CHECK(refused < 1000);
+    CHECK(refusedRoots(board, lesserRank, false, now) == 0);
+    CHECK(refusedRoots(board, leastRank, true, now) == 0);
+    CHECK(board.check(services, leastRank, root_id{ 1 }, false, now).service == "pitchdesk");
+    CHECK(board.check(services, leastRank, root_id{ 1 }, false, now).rankAdmitted == lesserRank.value);
+    board.note(heard("b", leastRank, subLevelCount), now);
+    CHECK(refusedRoots(board, leastRank, false, now) == 0);
+}
+
+TEST_CASE("a sub-level refuses the roots at and above it")
+{
+    level_board board;
+    const clock_ms now{ 5'000 };
+    constexpr std::uint16_t half = subLevelCount / 2;
+    board.note(heard("a", leastRank, half), now);
+    for (std::uint64_t root = 1; root <= 1000; ++root) {
+        if (subLevelOf(root_id{ root }) < half) {
+            CHECK_FALSE(board.check(services, leastRank, root_id{ root }, false, now).refused);
+        }
+    }
+    const int refused = refusedRoots(board, leastRank, false, now);
+    CHECK(refused > 400);
+    CHECK(refused < 600);
+}
+
+TEST_CASE("a level expires, and an older one never replaces a younger one")
+{
+    level_board board;
+    const clock_ms now{ 5'000 };
+    board.note(heard("a", lesserRank, subLevelCount, 100), now);
+    board.note(heard("a", leastRank, subLevelCount, 300), now);
+    CHECK(refusedRoots(board, leastRank, false, now) > 0);
+    CHECK(board.known(now, 10).size() == 1);
+    CHECK(board.known(now, 10).front().age == clock_ms{ 100 });
+    CHECK(refusedRoots(board, leastRank, false, now + clock_ms{ 1'000 }) == 0);
+    CHECK(board.known(now + clock_ms{ 1'000 }, 10).empty());
+}
+
+TEST_CASE("the board stays bounded and passes on the youngest levels first")
+{
+    level_board board;
+    const clock_ms now{ 5'000 };
+    for (int number = 0; number < 20'000; ++number) {
+        const std::string text = std::to_string(number);
+        board.note({ "service" + text, "host", { leastRank, subLevelCount }, clock_ms{ number % 500 } }, now);
+        board.note({ "one", "host" + text, { leastRank, subLevelCount }, clock_ms{ number % 500 } }, now);
+    }
+    constexpr std::size_t bound = 1024 + 64;
+    CHECK(board.known(now, 100'000).size() <= bound);
+    const std::vector<heard_level> few = board.known(now, 3);
+    REQUIRE(few.size() == 3);
+    CHECK(few.front().age <= few.back().age);
+}
