Add: A learnt concurrency limit and overload levels by root in the gate

Cause: the first gate refused only from a full queue, which holds a standing queue and refuses each root at random at each layer.

The level divides the slots by measured demand (Little's law: calls a millisecond times slot time) and a standing queue corrects it, after DAGOR and CoDel. The limit grows while the latency stays, and a probe tells a slow backend server from calls that queue inside it.

--- a/src/admission/class_table.cpp
+++ b/src/admission/class_table.cpp
@@ -8,9 +8,8 @@
 namespace cicadamux::detail {
 
 namespace {
-constexpr double meanGain = 0.125; ///< Weight of a new sample in the mean.
-constexpr double deviationGain = 0.25; ///< Weight of a new sample in the deviation.
-constexpr double decayFactor = 0.8; ///< What is left of an estimate after a window without samples.
+constexpr double pastSamples = 8; ///< Samples that the past counts for beside those of a window.
+constexpr double trustLost = 0.2; ///< Part of the mean that the deviation gains in a window without samples.
 constexpr double leastEffort = 1e-6; ///< Stands in for an effort of 0.
 constexpr clock_ms classLifetime{ 10'000 }; ///< A class unused for longer makes room for others.
 constexpr std::string_view sharedClassName; ///< Name of the class that takes what finds no room.
@@ -38,17 +37,24 @@
         m_mean = sample;
         m_deviation = sample / 2;
         m_known = true;
-        return;
     }
-    const double difference = sample - m_mean;
-    m_mean += meanGain * difference;
-    m_deviation += deviationGain * (std::abs(difference) - m_deviation);
+    m_sum += sample;
+    m_deviationSum += std::abs(sample - m_mean);
+    ++m_samples;
 }
 
-void service_estimate::decay()
+void service_estimate::closeWindow(bool isIdle)
 {
-    m_mean *= decayFactor;
-    m_deviation *= decayFactor;
+    if (m_samples > 0) {
+        const double weight = m_samples / (m_samples + pastSamples);
+        m_mean += weight * (m_sum / m_samples - m_mean);
+        m_deviation += weight * (m_deviationSum / m_samples - m_deviation);
+    } else if (isIdle) {
+        m_deviation = std::min(m_mean, m_deviation + trustLost * m_mean);
+    }
+    m_sum = 0;
+    m_deviationSum = 0;
+    m_samples = 0;
 }
 
 bool service_estimate::isKnown() const
--- a/src/admission/class_table_base.h
+++ b/src/admission/class_table_base.h
@@ -46,15 +46,22 @@
     clock_ms since; ///< When it arrived.
 };
 
-/** Smoothed slot time of a class and its mean deviation, as TCP estimates round trips (Jacobson, SIGCOMM 1988). */
+/**
+ * Smoothed slot time of a class and its mean deviation, as TCP estimates round trips (Jacobson, SIGCOMM 1988), but
+ * window by window: the more samples a window has, the more it counts.
+ */
 class service_estimate
 {
 public:
     /** Adds one measured slot time in milliseconds. */
     void add(double sample);
 
-    /** Forgets part of an estimate that no sample renewed, so that an outdated one can't refuse a class for ever. */
-    void decay();
+    /**
+     * Takes in the samples of a window.
+     * @param isIdle Whether the class had no call at work. Then an estimate without samples loses its trust: its
+     * deviation widens, so that an outdated one can't refuse a class for ever.
+     */
+    void closeWindow(bool isIdle);
 
     bool isKnown() const;
 
@@ -66,6 +73,9 @@
 private:
     double m_mean = 0; ///< Milliseconds.
     double m_deviation = 0; ///< Milliseconds.
+    double m_sum = 0; ///< Of the window's samples, in milliseconds.
+    double m_deviationSum = 0; ///< Of their distances from the mean, in milliseconds.
+    std::uint32_t m_samples = 0; ///< Of the window.
     bool m_known = false;
 };
 
@@ -79,7 +89,6 @@
     clock_ms lastSeen;
     service_estimate service;
     std::uint32_t offered = 0; ///< Calls offered in the present window.
-    std::uint32_t measured = 0; ///< Slot times measured in the present window.
     double offeredRate = 0; ///< Smoothed, calls per millisecond.
     double admittedPart = 1; ///< Part of its roots that is admitted, 0 to 1.
 };
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -21,7 +21,7 @@
 
 void gate::setAnnouncedSlots(std::uint32_t slots)
 {
-    m_state->limit.setAnnounced(slots, m_state->sweptAt);
+    m_state->limit.setAnnounced(slots, m_state->now);
 }
 
 void gate::submit(const gate_call &call, clock_ms now, std::vector<gate_decision> &decisions)
@@ -38,17 +38,23 @@
         self.admit(call, owner, now, now, decisions);
         return;
     }
+    self.overload.offered(owner);
     if (self.isTooLate(call, owner, now)) {
         self.refuse(call, now, call.deadline <= now ? outcome_reason::deadline_passed : outcome_reason::queue_timeout, now, decisions);
         return;
     }
     if (self.isClosed(owner.tier, now)) {
+        self.refuse(call, now, outcome_reason::overloaded, now, decisions);
+        return;
+    }
+    if (self.isBelowLevel(call, owner)) {
         self.refuseByRank(call, owner.tier, now, now, decisions);
         return;
     }
     self.queue.push(call, owner, now);
     self.dispatch(now, decisions);
     self.trimQueue(now, decisions);
+    self.observe(now);
 }
 
 void gate::finish(call_id call, work_end end, clock_ms now, std::vector<gate_decision> &decisions)
@@ -64,17 +70,19 @@
     --ended.owner->inUse;
     const bool usedSlot = end != work_end::not_sent && end != work_end::shed && end != work_end::server_gone;
     if (usedSlot) {
-        ended.owner->service.add(static_cast<double>((now - ended.since).count));
+        self.overload.measured(*ended.owner, static_cast<double>((now - ended.since).count));
     }
     self.limit.ended(end, ended.since, static_cast<std::uint32_t>(self.admitted.size()), now);
     self.advance(now, decisions);
     self.dispatch(now, decisions);
+    self.observe(now);
 }
 
 bool gate::withdraw(call_id call, clock_ms now, std::vector<gate_decision> &decisions)
 {
     const bool wasWaiting = m_state->queue.take(call).has_value();
     m_state->advance(now, decisions);
+    m_state->observe(now);
     return wasWaiting;
 }
 
@@ -82,6 +90,7 @@
 {
     m_state->advance(now, decisions);
     m_state->dispatch(now, decisions);
+    m_state->observe(now);
 }
 
 void gate::refuseAll(outcome_reason reason, clock_ms now, std::vector<gate_decision> &decisions)
@@ -90,6 +99,7 @@
     for (const detail::taken_call &waiter : taken) {
         m_state->refuse(waiter.waiter.call, waiter.waiter.since, reason, now, decisions);
     }
+    m_state->observe(now);
 }
 
 gate_snapshot gate::snapshot(clock_ms now) const
--- a/src/admission/gate_state.cpp
+++ b/src/admission/gate_state.cpp
@@ -6,6 +6,7 @@
 namespace cicadamux {
 
 namespace {
+constexpr clock_ms sweepInterval{ 5 }; ///< Between two searches of the queue for calls that are too old.
 constexpr clock_ms closedFor{ 100 }; ///< How long lesser ranks stay refused after a protected call was.
 } // namespace
 
@@ -13,25 +14,45 @@
     : settings(initial)
     , queue(classes)
     , limit(initial)
+    , overload(classes)
 {
 }
 
-void gate::state::advance(clock_ms now, std::vector<gate_decision> &decisions)
+void gate::state::advance(clock_ms instant, std::vector<gate_decision> &decisions)
 {
-    if (now <= sweptAt) {
+    now = std::max(now, instant);
+    if (!settings.enabled) {
         return;
     }
+    limit.advance(now);
+    overload.advance(limit.settled(), settings.maxWait, now);
+    const bool isFull = queue.size() >= settings.maxWaiting && now > sweptAt;
+    if (isFull || now - sweptAt >= sweepInterval) {
+        sweep(now, decisions);
+    }
+}
+
+void gate::state::sweep(clock_ms now, std::vector<gate_decision> &decisions)
+{
     sweptAt = now;
-    limit.advance(static_cast<std::uint32_t>(admitted.size()), now);
+    if (queue.size() == 0) {
+        return;
+    }
     const auto late = queue.takeIf([this, now](const detail::waiting_call &waiter, const detail::work_class &owner) {
-        return isTooLate(waiter.call, owner, now) || hasWaitedOut(waiter, now);
+        return hasWaitedOut(waiter, now) || isTooLate(waiter.call, owner, now);
     });
     for (const detail::taken_call &taken : late) {
-        const bool waitedOut = hasWaitedOut(taken.waiter, now);
-        refuse(taken.waiter.call, taken.waiter.since, waitedOut ? outcome_reason::overloaded : outcome_reason::queue_timeout, now, decisions);
+        drop(taken, now, decisions);
     }
 }
 
+void gate::state::observe(clock_ms now)
+{
+    const auto inUse = static_cast<std::uint32_t>(admitted.size());
+    limit.observe(inUse, now);
+    overload.observe(queue.strictSize(), queue.strictProtectedSize(), inUse, now);
+}
+
 void gate::state::dispatch(clock_ms now, std::vector<gate_decision> &decisions)
 {
     while (admitted.size() < limit.current()) {
@@ -40,8 +61,8 @@
             return;
         }
         const detail::waiting_call &waiter = next->waiter;
-        if (isTooLate(waiter.call, *next->owner, now)) {
-            refuse(waiter.call, waiter.since, outcome_reason::queue_timeout, now, decisions);
+        if (hasWaitedOut(waiter, now) || isTooLate(waiter.call, *next->owner, now)) {
+            drop(*next, now, decisions);
         } else {
             admit(waiter.call, *next->owner, waiter.since, now, decisions);
         }
@@ -52,6 +73,7 @@
 {
     while (queue.size() > settings.maxWaiting) {
         const std::optional<detail::taken_call> last = queue.takeLast();
+        overload.refusedWaiting(*last->owner);
         refuseByRank(last->waiter.call, last->owner->tier, last->waiter.since, now, decisions);
     }
 }
@@ -64,13 +86,22 @@
         checkInvariant(inOrder && !isClosed(owner.tier, now), invariant::rank_order, "a lesser call was admitted while a protected one waits or is refused");
         checkInvariant(admitted.size() < limit.current(), invariant::limit_held, "a call was admitted beyond the concurrency limit");
     }
+    if (!call.lateOk) {
+        overload.admitted(owner, now - since);
+    }
     queue.charge(owner);
     ++owner.inUse;
     admitted.emplace(call.call, admitted_call{ &owner, now });
-    limit.started(static_cast<std::uint32_t>(admitted.size()), now);
     decisions.push_back({ call.call, true, outcome_reason::none, rankAdmitted(now), now - since });
 }
 
+void gate::state::drop(const detail::taken_call &taken, clock_ms now, std::vector<gate_decision> &decisions)
+{
+    overload.refusedWaiting(*taken.owner);
+    const outcome_reason reason = hasWaitedOut(taken.waiter, now) ? outcome_reason::overloaded : outcome_reason::queue_timeout;
+    refuse(taken.waiter.call, taken.waiter.since, reason, now, decisions);
+}
+
 void gate::state::refuse(const gate_call &call, clock_ms since, outcome_reason reason, clock_ms now, std::vector<gate_decision> &decisions)
 {
     decisions.push_back({ call.call, false, reason, rankAdmitted(now), now - since });
@@ -112,12 +143,21 @@
     return tier > closed.tier && now < closed.until;
 }
 
+bool gate::state::isBelowLevel(const gate_call &call, const detail::work_class &owner) const
+{
+    const bool findsSlot = admitted.size() < limit.current() && queue.size() == 0;
+    const bool isExempt = call.lateOk || (call.isProtected && findsSlot);
+    return !isExempt && overload.refuses(owner, call.root);
+}
+
 gate_level gate::state::level(clock_ms now) const
 {
-    if (now < closed.until) {
-        return { detail::rankOfTier(closed.tier), subLevelCount };
+    const gate_level measured = overload.level();
+    const rank_id closedRank = detail::rankOfTier(closed.tier);
+    if (now < closed.until && measured.rank > closedRank) {
+        return { closedRank, subLevelCount };
     }
-    return { classes.lastRank(), subLevelCount };
+    return measured;
 }
 
 int gate::state::rankAdmitted(clock_ms now) const
--- a/src/admission/gate_state_base.h
+++ b/src/admission/gate_state_base.h
@@ -5,6 +5,7 @@
 #include "admission/class_table_base.h"
 #include "admission/concurrency_limit_base.h"
 #include "admission/gate_base.h"
+#include "admission/overload_level_base.h"
 #include "admission/wait_queue_base.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -29,6 +30,12 @@
     /** Takes the time in: closes windows of measurement and drops what waited too long. */
     void advance(clock_ms now, std::vector<gate_decision> &decisions);
 
+    /** Drops what waited too long. */
+    void sweep(clock_ms now, std::vector<gate_decision> &decisions);
+
+    /** Shows the state after a command to what is learnt from it. */
+    void observe(clock_ms now);
+
     /** Admits what may go, in order. */
     void dispatch(clock_ms now, std::vector<gate_decision> &decisions);
 
@@ -36,6 +43,9 @@
     void trimQueue(clock_ms now, std::vector<gate_decision> &decisions);
 
     void admit(const gate_call &call, detail::work_class &owner, clock_ms since, clock_ms now, std::vector<gate_decision> &decisions);
+
+    /** Refuses a waiting call that is too old. */
+    void drop(const detail::taken_call &taken, clock_ms now, std::vector<gate_decision> &decisions);
     void refuse(const gate_call &call, clock_ms since, outcome_reason reason, clock_ms now, std::vector<gate_decision> &decisions);
 
     /** Refuses a call for want of capacity, all lesser ones that wait before it if it is protected. */
@@ -50,6 +60,9 @@
     /** @return Whether the call waited longer than calls of its rank may. */
     bool hasWaitedOut(const detail::waiting_call &waiter, clock_ms now) const;
 
+    /** @return Whether the level refuses the call at its arrival. */
+    bool isBelowLevel(const gate_call &call, const detail::work_class &owner) const;
+
     bool isClosed(std::size_t tier, clock_ms now) const;
     gate_level level(clock_ms now) const;
     int rankAdmitted(clock_ms now) const;
@@ -58,8 +71,10 @@
     detail::class_table classes;
     detail::wait_queue queue;
     detail::concurrency_limit limit;
+    detail::overload_level overload;
     boost::unordered_flat_map<call_id, admitted_call, std::hash<call_id>> admitted;
     closed_tier closed;
+    clock_ms now; ///< Latest instant seen.
     clock_ms sweptAt;
 };
 
--- /dev/null
+++ b/src/admission/share.cpp
@@ -0,0 +1,29 @@
+/** @file share.cpp Divides a capacity among claims. */
+
+#include "admission/share_func.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cicadamux::detail {
+
+std::vector<double> divideCapacity(double capacity, std::span<const share_claim> claims)
+{
+    std::vector<std::size_t> order(claims.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::ranges::sort(order, {}, [&](std::size_t index) { return claims[index].demand / claims[index].weight; });
+    double weightLeft = 0;
+    for (const share_claim &claim : claims) {
+        weightLeft += claim.weight;
+    }
+    std::vector<double> given(claims.size());
+    for (const std::size_t index : order) {
+        const double fair = capacity * claims[index].weight / weightLeft;
+        given[index] = std::min(claims[index].demand, fair);
+        capacity = std::max(0.0, capacity - given[index]);
+        weightLeft -= claims[index].weight;
+    }
+    return given;
+}
+
+} // namespace cicadamux::detail
--- a/src/admission/wait_queue.cpp
+++ b/src/admission/wait_queue.cpp
@@ -62,7 +62,7 @@
     owner.waiting.emplace(key, waiting_call{ call, now });
     m_places.insert_or_assign(call.call, place{ &owner, key });
     ++tier.waiting;
-    m_strict += call.lateOk ? 0 : 1;
+    countStrict(call, owner, 1);
 }
 
 std::optional<std::size_t> wait_queue::firstTier() const
@@ -205,13 +205,27 @@
     return m_strict;
 }
 
+std::size_t wait_queue::strictProtectedSize() const
+{
+    return m_strictProtected;
+}
+
+void wait_queue::countStrict(const gate_call &call, const work_class &owner, int change)
+{
+    if (call.lateOk) {
+        return;
+    }
+    m_strict += change;
+    m_strictProtected += owner.tier < firstLesserTier ? change : 0;
+}
+
 taken_call wait_queue::remove(work_class &owner, std::map<wait_key, waiting_call>::iterator position)
 {
     taken_call taken{ std::move(position->second), &owner };
     owner.waiting.erase(position);
     m_places.erase(taken.waiter.call.call);
     --m_classes.tier(owner.tier).waiting;
-    m_strict -= taken.waiter.call.lateOk ? 0 : 1;
+    countStrict(taken.waiter.call, owner, -1);
     return taken;
 }
 
--- a/src/admission/wait_queue_base.h
+++ b/src/admission/wait_queue_base.h
@@ -54,6 +54,9 @@
     /** @return How many wait whose deadline is strict. */
     std::size_t strictSize() const;
 
+    /** @return How many of these are protected. */
+    std::size_t strictProtectedSize() const;
+
     /** @return The least urgent tier that waits, nothing if none does. */
     std::optional<std::size_t> lastTier() const;
 
@@ -68,12 +71,14 @@
 
     std::optional<std::size_t> nextTier() const;
     std::optional<std::size_t> tierToRefuse() const;
+    void countStrict(const gate_call &call, const work_class &owner, int change);
     taken_call remove(work_class &owner, std::map<wait_key, waiting_call>::iterator position);
 
     class_table &m_classes;
     boost::unordered_flat_map<call_id, place, std::hash<call_id>> m_places;
     std::uint64_t m_nextSequence = 0;
     std::size_t m_strict = 0;
+    std::size_t m_strictProtected = 0;
     double m_virtualTime = 0; ///< Of the tiers that aren't protected.
 };
 
