Add: Membership by gossip, the configuration that only moves up, and the fleet's duties

The daemons had interfaces for these aggregates and no code. The table follows SWIM (probe, indirect probe, suspicion, refutation, bounded retransmission) with Lifeguard's local health and buddy system; news that end work are pushed to several peers at once. An exchange of all records would cost 160 KB at 1600 members, so exchanges compare one digest, then 64 bucket digests, and carry only the buckets that differ; the messages of the exchange got fields for that, and the peer codec writes them. Changes of configuration are announced by gossip and pulled by name from the announcer. Every change of configurationDigest as a record would be n news for n members, so a member announces it at a rate that falls with the fleet's size; pings carry it at once.

--- a/src/configuration/configuration_base.h
+++ b/src/configuration/configuration_base.h
@@ -21,6 +21,7 @@
     std::string kind;
     std::string name;
     std::uint64_t generation = 0;
+    std::uint64_t operation = 0; ///< Hash of the operation id, so that two writes of one generation are told apart; 0: not stated.
 
     bool operator==(const object_generation &) const = default;
 };
@@ -42,6 +43,14 @@
     invalid ///< It doesn't parse; what was in force stays.
 };
 
+/** What was offered, for metrics. */
+struct configuration_counters {
+    std::uint64_t applied = 0;
+    std::uint64_t stale = 0; ///< Lower generations that were refused.
+    std::uint64_t conflicting = 0;
+    std::uint64_t invalid = 0;
+};
+
 /** Called after a new set has been put in force. */
 using policy_hook = std::function<void(std::shared_ptr<const policy_set>)>;
 
@@ -69,8 +78,16 @@
     /** @return The objects in force that the other side lacks or has at a lower generation, at most `most`. */
     std::vector<configuration_object> newerThan(std::span<const object_generation> theirs, std::size_t most) const;
 
+    /** @return Those of the named objects that are newer here than the other side's. */
+    std::vector<configuration_object> newerOf(std::span<const object_generation> named) const;
+
+    /** @return The objects that the other side has and this one lacks or has at a lower generation. */
+    std::vector<object_generation> lackedOf(std::span<const object_generation> theirs) const;
+
     std::shared_ptr<const policy_set> policies() const;
 
+    configuration_counters counters() const;
+
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/src/fleet/fleet_base.h
+++ b/src/fleet/fleet_base.h
@@ -9,19 +9,34 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace cicadamux {
 
-/** A full exchange, as asked: all that one side knows in brief. */
+/** What an exchange is about. */
+enum class exchange_scope : std::uint8_t {
+    full, ///< All members, and the objects newer than `generations`.
+    compare, ///< Whether members and configuration differ, or the members of the buckets that differ.
+    configuration, ///< The objects newer than `generations`.
+    named ///< Only the objects named in `generations`, where they are newer.
+};
+
+/** An exchange, as asked. */
 struct exchange_request {
-    std::vector<member_record> members;
+    std::vector<member_record> members; ///< The sender's own record.
     std::vector<object_generation> generations;
     std::string senderAddress; ///< Peer address of the daemon that asks.
+    exchange_scope scope = exchange_scope::full;
+    member_filter filter; ///< The members that are compared or asked for.
+    std::vector<std::uint64_t> memberDigests; ///< One of all, or one for each bucket.
+    std::uint64_t configurationDigest = 0;
+    std::string senderDataCenter;
 };
 
 /** The other side's part of a full exchange. */
@@ -29,6 +44,11 @@
     std::vector<member_record> members;
     std::vector<configuration_object> newer; ///< Objects that the asking side lacks; bounded.
     std::vector<object_generation> wanted; ///< Objects that this side lacks.
+    std::uint64_t memberBuckets = 0; ///< Bit i: `members` holds all of bucket i.
+    bool membersDiffer = false; ///< To be asked again with the digests of the buckets.
+    bool configurationDiffers = false; ///< To be asked again with the generations.
+    bool isCut = false; ///< `newer` reached its bound; to be asked again.
+    std::string dataCenter; ///< Of the daemon that answers.
 };
 
 /** Called with the reply, or with nothing if the peer didn't answer in time. */
@@ -46,6 +66,8 @@
     std::uint64_t gossipBytesSent = 0;
     std::uint64_t gossipBytesReceived = 0;
     std::uint64_t exchanges = 0;
+    std::uint64_t exchangeBytesSent = 0; ///< Estimate from the sizes of the requests and replies.
+    std::uint64_t exchangeBytesReceived = 0;
     std::uint64_t platformCalls = 0;
     std::uint64_t staleOffers = 0; ///< Lower generations that were refused.
 };
--- /dev/null
+++ b/src/fleet/fleet_configuration.cpp
@@ -0,0 +1,147 @@
+/** @file fleet_configuration.cpp One daemon's part in the fleet: changes in force, and the duties at the platform. */
+
+#include "fleet/fleet_state.h"
+
+#include "core/log_func.h"
+
+#include <boost/asio/post.hpp>
+
+namespace cicadamux {
+
+using namespace detail;
+
+void fleet::state::policyChanged(const std::shared_ptr<const policy_set> &policies)
+{
+    callHook([&] {
+        if (hooks.policyChanged) {
+            hooks.policyChanged(policies);
+        }
+    });
+    if (!isAnnouncePosted.exchange(true)) {
+        boost::asio::post(strand, [self = shared_from_this()] {
+            self->isAnnouncePosted = false;
+            self->announceChanges();
+        });
+    }
+}
+
+void fleet::state::announceChanges()
+{
+    const clock_ms now = steadyNow();
+    std::vector<change_announcement> changes;
+    for (const object_generation &object : config.generations()) {
+        object_generation &held = known[{ object.kind, object.name }];
+        if (held != object) {
+            held = object;
+            changes.push_back({ object.kind, object.name, object.generation, object.operation });
+            pulls.erase({ object.kind, object.name });
+        }
+    }
+    if (changes.empty()) {
+        return;
+    }
+    configurationChangedAt = now;
+    withTable([&](member_table &members) {
+        members.updateSelf([this](member_record &record) { record.configurationDigest = config.digest(); }, now);
+        if (changes.size() > maxAnnounced) {
+            return; // A daemon that has just come; the others have them.
+        }
+        for (const change_announcement &change : changes) {
+            members.announce(change, now);
+        }
+    });
+}
+
+void fleet::state::tickDuties(clock_ms now)
+{
+    if (platform == nullptr) {
+        return;
+    }
+    bool isAlone = false;
+    bool watchHeld = false;
+    bool seedsHeld = false;
+    {
+        const std::lock_guard lock(tableMutex);
+        isAlone = table.randomPeer(settings.dataCenter).empty();
+        watchHeld = table.holdsDuty(watchDuty, watchHolders);
+        seedsHeld = table.holdsDuty(seedsDuty, seedsHolders);
+    }
+    hasJoined = hasJoined || now >= dutiesFrom;
+    stepSeeds(isAlone, seedsHeld && hasJoined, now);
+    for (const auto &watch : watches) {
+        stepWatch(watch, watchHeld && hasJoined, now);
+    }
+}
+
+void fleet::state::stepWatch(const std::shared_ptr<policy_watch> &watch, bool holds, clock_ms now)
+{
+    const policy_watch::action action = watch->next(holds, now);
+    if (action == policy_watch::action::none) {
+        return;
+    }
+    ++platformCalls;
+    const auto handler = [weak = weak_from_this(), watch](const platform_result<platform_changes> &result) {
+        if (const auto self = weak.lock()) {
+            boost::asio::post(self->strand, [self, watch, result] {
+                if (!self->isStopped) {
+                    watch->finished(result, steadyNow());
+                    self->nextDuties = clock_ms{};
+                }
+            });
+        }
+    };
+    if (action == policy_watch::action::list) {
+        platform->list(watch->kind(), handler);
+    } else {
+        platform->watch(watch->kind(), watch->cursor(), settings.platformWatch, handler);
+    }
+}
+
+void fleet::state::offerObjects(std::span<const platform_object> objects)
+{
+    for (const platform_object &object : objects) {
+        config.offer({ object.kind, object.name, 0, object.value });
+    }
+}
+
+void fleet::state::stepSeeds(bool isAlone, bool holds, clock_ms now)
+{
+    if (!seeds.isListDue(isAlone, holds, now)) {
+        return;
+    }
+    ++platformCalls;
+    platform->list(seedListKind, [weak = weak_from_this(), holds](const platform_result<platform_changes> &result) {
+        if (const auto self = weak.lock()) {
+            boost::asio::post(self->strand, [self, result, holds] { self->seedsListed(result, holds); });
+        }
+    });
+}
+
+void fleet::state::seedsListed(const platform_result<platform_changes> &result, bool mayWrite)
+{
+    if (isStopped) {
+        return;
+    }
+    const std::vector<std::string> addresses = seeds.finished(result, steadyNow());
+    withTable([&](member_table &members) { members.addSeeds(addresses); });
+    if (!mayWrite || result.failure != platform_failure::none) {
+        return;
+    }
+    std::vector<std::string> alive;
+    for (const member_record &record : *published.load()) {
+        if (record.dataCenter == settings.dataCenter && record.state == member_state::alive) {
+            alive.push_back(record.peerAddress);
+        }
+    }
+    const auto write = seeds.writeAfterList(alive);
+    if (!write) {
+        return;
+    }
+    ++platformCalls;
+    platform->put(seedListKind, settings.dataCenter, write->value, write->ifVersion, [](const platform_result<std::uint64_t> &written) {
+        // A lost race or answer is left to the next look, a minute later.
+        logEvent(log_level::info, "seed_list_written", { { "failed", written.failure != platform_failure::none } });
+    });
+}
+
+} // namespace cicadamux
--- /dev/null
+++ b/src/fleet/seed_directory.cpp
@@ -0,0 +1,126 @@
+/** @file seed_directory.cpp The platform's `seed_list` objects. */
+
+#include "fleet/seed_directory_base.h"
+
+#include "core/log_func.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace cicadamux::detail {
+
+namespace {
+constexpr std::size_t maxAddresses = 64; ///< Read from one object.
+constexpr std::size_t wantedAddresses = 16; ///< Written into one object.
+constexpr clock_ms alonePatience{ 500 }; ///< Time for the settings' seeds to answer; jittered.
+constexpr clock_ms aloneBackoff{ 1'000 }; ///< Between two reads while alone; doubles; jittered.
+constexpr std::uint32_t maxDoublings = 4;
+constexpr clock_ms dutyDelay{ 10'000 }; ///< From the start to a holder's first look; jittered.
+constexpr clock_ms dutyPeriod{ 60'000 }; ///< Between two looks of a holder; jittered.
+} // namespace
+
+std::optional<std::vector<std::string>> parseSeedList(std::string_view json)
+{
+    boost::system::error_code failure;
+    const boost::json::value value = boost::json::parse(json, failure);
+    if (failure || !value.is_object()) {
+        return std::nullopt;
+    }
+    const boost::json::value *addresses = value.as_object().if_contains("addresses");
+    if (addresses == nullptr || !addresses->is_array()) {
+        return std::nullopt;
+    }
+    std::vector<std::string> result;
+    for (const boost::json::value &address : addresses->as_array()) {
+        if (address.is_string() && result.size() < maxAddresses) {
+            result.emplace_back(address.as_string());
+        }
+    }
+    return result;
+}
+
+std::string formatSeedList(std::span<const std::string> addresses)
+{
+    boost::json::array list;
+    for (const std::string &address : addresses) {
+        list.emplace_back(address);
+    }
+    return boost::json::serialize(boost::json::object{ { "addresses", std::move(list) } });
+}
+
+seed_directory::seed_directory(std::string dataCenter, random_source random)
+    : m_dataCenter(std::move(dataCenter))
+    , m_random(std::move(random))
+{
+}
+
+clock_ms seed_directory::jittered(clock_ms span) const
+{
+    return { (span.count / 2) + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(span.count + 1)) };
+}
+
+bool seed_directory::isListDue(bool isAlone, bool holds, clock_ms now)
+{
+    if (!m_isStarted) {
+        m_isStarted = true;
+        m_nextAlone = now + jittered(alonePatience);
+        m_nextDuty = now + jittered(dutyDelay);
+    }
+    if (!isAlone) {
+        m_reads = 0;
+    }
+    const bool isDue = (isAlone && now >= m_nextAlone) || (holds && now >= m_nextDuty);
+    if (m_isBusy || !isDue) {
+        return false;
+    }
+    m_isBusy = true;
+    return true;
+}
+
+std::vector<std::string> seed_directory::finished(const platform_result<platform_changes> &result, clock_ms now)
+{
+    m_isBusy = false;
+    const std::uint32_t doublings = std::min(m_reads, maxDoublings);
+    ++m_reads;
+    m_nextAlone = now + jittered({ aloneBackoff.count << doublings });
+    m_nextDuty = now + jittered(dutyPeriod);
+    std::vector<std::string> addresses;
+    if (result.failure != platform_failure::none) {
+        return addresses;
+    }
+    m_own.clear();
+    m_version = 0;
+    for (const platform_object &object : result.value.items) {
+        const auto seeds = parseSeedList(object.value);
+        if (!seeds) {
+            logEvent(log_level::warning, "seed_list_invalid", { { "name", object.name }, { "version", object.version } });
+        }
+        if (object.name == m_dataCenter) {
+            m_own = seeds.value_or(std::vector<std::string>{});
+            m_version = object.version;
+        }
+        if (seeds) {
+            addresses.insert(addresses.end(), seeds->begin(), seeds->end());
+        }
+    }
+    return addresses;
+}
+
+std::optional<seed_write> seed_directory::writeAfterList(std::span<const std::string> alive) const
+{
+    const auto named
+        = static_cast<std::size_t>(std::ranges::count_if(m_own, [&](const std::string &address) { return std::ranges::find(alive, address) != alive.end(); }));
+    const std::size_t wanted = std::min(wantedAddresses, alive.size());
+    if (named * 2 >= wanted && named * 2 >= m_own.size()) {
+        return std::nullopt;
+    }
+    std::vector<std::string> chosen(alive.begin(), alive.end());
+    for (std::size_t rest = chosen.size(); rest > 1; --rest) {
+        std::swap(chosen[rest - 1], chosen[m_random() % rest]);
+    }
+    chosen.resize(wanted);
+    return seed_write{ formatSeedList(chosen), m_version };
+}
+
+} // namespace cicadamux::detail
--- a/src/membership/member_table_base.h
+++ b/src/membership/member_table_base.h
@@ -32,13 +32,23 @@
     std::function<void(std::string_view address)> exchange; ///< Starts a full exchange with a peer (gRPC `Exchange`).
     std::function<void(std::string_view host, std::string_view address, std::uint64_t digest)>
         digestDiffers; ///< A peer's configuration differs from this daemon's.
+    std::function<void(std::string_view address, const change_announcement &change)> changeAnnounced; ///< A peer has this generation.
+};
+
+/** What the table has seen, for metrics. */
+struct member_counters {
+    std::uint64_t malformed = 0; ///< Datagrams or records that were dropped.
+    std::uint64_t olderIncarnations = 0; ///< Records of an earlier life that were refused.
+    std::uint64_t refutations = 0; ///< Suspicions of this daemon that it refuted.
+    std::uint64_t declaredDead = 0; ///< Members that this daemon itself declared dead.
+    std::uint64_t timeGaps = 0; ///< Pauses of this process that it noticed.
 };
 
 /** Pure of sockets and real time; the owner serializes the calls. */
 class member_table
 {
 public:
-    member_table(member_settings settings, member_record self, member_hooks hooks, random_source random);
+    member_table(member_settings settings, const member_record &self, member_hooks hooks, random_source random);
     ~member_table();
     member_table(const member_table &) = delete;
     member_table &operator=(const member_table &) = delete;
@@ -55,9 +65,27 @@
     /** Drives probes, suspicion and gossip; called about every 50 ms. */
     void tick(clock_ms now);
 
+    /** Announces a generation that is in force here; it is gossiped at once. */
+    void announce(const change_announcement &change, clock_ms now);
+
     /** Takes in records from a full exchange. */
     void merge(std::span<const member_record> records, clock_ms now);
 
+    /**
+     * Takes in what a member of another data centre answered for some buckets of that data centre.
+     * That side is the authority: a member that several answers in a row don't name any more is dead.
+     */
+    void mergeAuthoritative(const member_filter &filter, std::uint64_t buckets, std::span<const member_record> records, clock_ms now);
+
+    /**
+     * Digests of the live members that the filter selects, for a comparison with another daemon's.
+     * @param parts 1: one digest of all; memberBuckets: one for each bucket.
+     */
+    std::vector<std::uint64_t> digests(const member_filter &filter, std::size_t parts) const;
+
+    /** @return The records that the filter selects in these buckets (bit i: bucket i), the dead ones among them. */
+    std::vector<member_record> recordsOf(const member_filter &filter, std::uint64_t buckets) const;
+
     /** @return All records to give in a full exchange, the dead ones that are still remembered among them. */
     std::vector<member_record> records() const;
 
@@ -70,8 +98,16 @@
      */
     bool holdsDuty(std::string_view duty, std::size_t holders) const;
 
+    /** @return The peer address of a random live member of a data centre, without this daemon; empty if there is none. */
+    std::string randomPeer(std::string_view dataCenter) const;
+
+    /** @return The names of all data centres that have live members. */
+    std::vector<std::string> dataCenters() const;
+
     const member_record &self() const;
 
+    const member_counters &counters() const;
+
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- /dev/null
+++ b/src/membership/member_table_spread.cpp
@@ -0,0 +1,166 @@
+/** @file member_table_spread.cpp A daemon's view of the fleet: what it sends, and to whom. */
+
+#include "membership/member_table_state.h"
+#include "membership/member_wire_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadamux {
+
+using namespace detail;
+
+std::uint32_t member_table::state::sendLimit() const
+{
+    const auto size = static_cast<double>(store.liveCount(dataCenter) + 1);
+    return retransmitFactor * static_cast<std::uint32_t>(std::max(1.0, std::ceil(std::log10(size))));
+}
+
+void member_table::state::addRecord(wire::Gossip &message, const member_entry &entry) const
+{
+    writeMember(aged(entry), *message.add_members());
+}
+
+void member_table::state::sendGossip(std::string_view address, wire::Gossip &message)
+{
+    const member_record &own = selfEntry().record;
+    message.set_sender(selfHost);
+    message.set_incarnation(own.incarnation.value);
+    message.set_configuration_digest(own.configurationDigest);
+    const auto recordOf = [this](const std::string &host) -> const member_record * {
+        if (const member_entry *entry = store.find(host)) {
+            agedRecord = aged(*entry);
+            return &agedRecord;
+        }
+        const member_entry *entry = passing.find(host);
+        return entry == nullptr ? nullptr : &entry->record;
+    };
+    news.fill(message, settings.datagramBytes, sendLimit(), recordOf);
+    hooks.send(address, message.SerializeAsString());
+}
+
+void member_table::state::ping(std::string_view address, std::uint64_t sequence, std::string_view aboutHost)
+{
+    wire::Gossip message;
+    message.set_kind(wire::Gossip::PING);
+    message.set_sequence(sequence);
+    const member_entry *target = store.find(aboutHost);
+    if (target != nullptr && target->isSuspected) {
+        addRecord(message, *target); // So that it can refute at once (Lifeguard's buddy system).
+    }
+    sendGossip(address, message);
+}
+
+void member_table::state::makeUrgent(const std::string &host, std::uint32_t rounds)
+{
+    urgentMembers[host] = { rounds, now };
+}
+
+void member_table::state::makeUrgent(const change_announcement &change, std::uint32_t rounds)
+{
+    urgentChanges[change] = { rounds, now };
+}
+
+void member_table::state::push(const wire::Gossip &message, bool abroad)
+{
+    const auto sendTo = [&](const std::string &address) {
+        if (pushesLeft > 0) {
+            --pushesLeft;
+            wire::Gossip copy = message;
+            sendGossip(address, copy);
+        }
+    };
+    std::ranges::for_each(randomPeers(dataCenter, urgentFanout, {}), sendTo);
+    if (!abroad) {
+        return;
+    }
+    for (const auto &[name, members] : store.byDataCenter()) {
+        if (name != dataCenter) {
+            std::ranges::for_each(randomPeers(name, remoteFanout, {}), sendTo);
+        }
+    }
+}
+
+void member_table::state::pushUrgent()
+{
+    if (urgentMembers.empty() && urgentChanges.empty()) {
+        return;
+    }
+    const bool isDigestHolder = holdsDuty(digestDuty, digestHolders);
+    wire::Gossip message;
+    message.set_kind(wire::Gossip::NEWS);
+    bool abroad = false;
+    const auto isDue = [&](urgent_item &item) {
+        const bool isNow = item.rounds > 0 && item.next <= now && message.ByteSizeLong() * 2 < settings.datagramBytes && pushesLeft > 0;
+        if (isNow) {
+            --item.rounds;
+            item.next = now + pushGap;
+        }
+        return isNow;
+    };
+    for (auto &[host, item] : urgentMembers) {
+        const member_entry *entry = store.find(host);
+        if (entry != nullptr && isDue(item)) {
+            addRecord(message, *entry);
+            abroad = abroad || host == selfHost || (isDigestHolder && entry->record.dataCenter == dataCenter);
+        }
+    }
+    for (auto &[change, item] : urgentChanges) {
+        if (isDue(item)) {
+            wire::Object_Generation &written = *message.add_changes();
+            written.set_kind(change.kind);
+            written.set_name(change.name);
+            written.set_generation(change.generation);
+            written.set_operation(change.operation);
+        }
+    }
+    std::erase_if(urgentMembers, [this](const auto &item) { return item.second.rounds == 0 || store.find(item.first) == nullptr; });
+    std::erase_if(urgentChanges, [](const auto &item) { return item.second.rounds == 0; });
+    if (message.members_size() > 0 || message.changes_size() > 0) {
+        push(message, abroad);
+    }
+}
+
+void member_table::state::wantExchange(std::string_view address)
+{
+    if (now < nextExchange || !hooks.exchange) {
+        return;
+    }
+    nextExchange = now + jittered(exchangeGap);
+    hooks.exchange(address);
+}
+
+void member_table::state::tickReconnect()
+{
+    if (now < nextReconnect) {
+        return;
+    }
+    nextReconnect = now + jittered(reconnectPeriod);
+    std::erase_if(lost, [this](const auto &item) { return item.second < now; });
+    std::vector<std::string> addresses = seeds;
+    for (const auto &[address, until] : lost) {
+        addresses.push_back(address);
+    }
+    if (addresses.empty()) {
+        return;
+    }
+    const std::string &address = addresses[below(addresses.size())];
+    if (store.liveCount(dataCenter) <= 1) {
+        wantExchange(address);
+        nextReconnect = now + jittered(settings.probePeriod);
+    }
+    wire::Gossip message;
+    message.set_kind(wire::Gossip::PING);
+    message.set_sequence(nextSequence++);
+    addRecord(message, selfEntry());
+    sendGossip(address, message);
+}
+
+void member_table::state::tickDigestNews()
+{
+    if (digestNewsAt && *digestNewsAt <= now) {
+        renewSelf(aged(selfEntry()), false);
+    }
+}
+
+} // namespace cicadamux
--- a/src/membership/member_type.h
+++ b/src/membership/member_type.h
@@ -5,8 +5,11 @@
 #include "core/clock_type.h"
 #include "core/id_type.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace cicadamux {
 
@@ -41,4 +44,24 @@
     bool operator==(const member_record &) const = default;
 };
 
+/** A new generation of a policy object, as gossip announces it. */
+struct change_announcement {
+    std::string kind;
+    std::string name;
+    std::uint64_t generation = 0;
+    std::uint64_t operation = 0; ///< Hash of the operation id, so that two writes of one generation are told apart.
+
+    auto operator<=>(const change_announcement &) const = default;
+};
+
+/** Which members two daemons compare. */
+struct member_filter {
+    std::string dataCenter; ///< Empty: all.
+    std::vector<std::string> services; ///< Empty: all.
+};
+
+constexpr std::size_t memberBuckets = 64; ///< Parts of a data centre's members that are compared apart, by the hash of the host.
+constexpr std::string_view digestDuty = "digest"; ///< Duty: compare members and configuration with the other data centres.
+constexpr std::size_t digestHolders = 2; ///< Holders of that duty.
+
 } // namespace cicadamux
--- a/src/peer/exchange_codec.cpp
+++ b/src/peer/exchange_codec.cpp
@@ -1,8 +1,9 @@
 /** @file exchange_codec.cpp Member records and full exchanges as messages. */
 
+#include "membership/member_wire_func.h"
 #include "peer/peer_codec_func.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace cicadamux {
 
@@ -17,6 +18,7 @@
         message->set_kind(generation.kind);
         message->set_name(generation.name);
         message->set_generation(generation.generation);
+        message->set_operation(generation.operation);
     }
 }
 
@@ -27,7 +29,7 @@
     }
     std::vector<object_generation> generations;
     for (const wire::Object_Generation &message : messages) {
-        generations.push_back({ message.kind(), message.name(), message.generation() });
+        generations.push_back({ message.kind(), message.name(), message.generation(), message.operation() });
     }
     return generations;
 }
@@ -49,41 +51,17 @@
 wire::Member encodeMember(const member_record &record)
 {
     wire::Member message;
-    message.set_host(record.host);
-    message.set_data_center(record.dataCenter);
-    message.set_peer_address(record.peerAddress);
-    message.set_incarnation(record.incarnation.value);
-    message.set_revision(record.revision);
-    message.set_state(static_cast<std::uint32_t>(record.state));
-    message.set_service(record.service);
-    message.set_server(static_cast<std::uint32_t>(record.server));
-    message.set_slots(record.slots);
-    message.set_serving_for_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(record.servingFor.count, 0)));
-    message.set_configuration_digest(record.configurationDigest);
+    detail::writeMember(record, message);
     return message;
 }
 
 member_record decodeMember(const wire::Member &message)
 {
-    if (message.state() > static_cast<std::uint32_t>(member_state::dead) || message.server() > static_cast<std::uint32_t>(server_state::draining)) {
-        throw peer_format_error("unknown state of a member");
+    auto record = detail::readMember(message);
+    if (!record) {
+        throw peer_format_error("member without a valid name, address, incarnation or state");
     }
-    if (message.host().empty() || message.host().size() > maxNameLength || message.service().size() > maxNameLength) {
-        throw peer_format_error("member without a valid name");
-    }
-    member_record record;
-    record.host = message.host();
-    record.dataCenter = message.data_center();
-    record.peerAddress = message.peer_address();
-    record.incarnation = incarnation_id{ message.incarnation() };
-    record.revision = message.revision();
-    record.state = static_cast<member_state>(message.state());
-    record.service = message.service();
-    record.server = static_cast<server_state>(message.server());
-    record.slots = message.slots();
-    record.servingFor = { static_cast<std::int64_t>(message.serving_for_ms()) };
-    record.configurationDigest = message.configuration_digest();
-    return record;
+    return std::move(*record);
 }
 
 wire::Exchange_Request encodeExchange(const exchange_request &request)
@@ -94,15 +72,32 @@
     }
     encodeGenerations(request.generations, *message.mutable_generations());
     message.set_sender_address(request.senderAddress);
+    message.set_scope(static_cast<std::uint32_t>(request.scope));
+    message.set_data_center(request.filter.dataCenter);
+    for (const std::string &service : request.filter.services) {
+        message.add_services(service);
+    }
+    message.mutable_member_digests()->Add(request.memberDigests.begin(), request.memberDigests.end());
+    message.set_configuration_digest(request.configurationDigest);
+    message.set_sender_data_center(request.senderDataCenter);
     return message;
 }
 
 exchange_request decodeExchange(const wire::Exchange_Request &message)
 {
+    if (message.scope() > static_cast<std::uint32_t>(exchange_scope::named)) {
+        throw peer_format_error("unknown scope of an exchange");
+    }
     exchange_request request;
+    request.scope = static_cast<exchange_scope>(message.scope());
     request.members = decodeMembers(message.members());
     request.generations = decodeGenerations(message.generations());
     request.senderAddress = message.sender_address();
+    request.filter.dataCenter = message.data_center();
+    request.filter.services.assign(message.services().begin(), message.services().end());
+    request.memberDigests.assign(message.member_digests().begin(), message.member_digests().end());
+    request.configurationDigest = message.configuration_digest();
+    request.senderDataCenter = message.sender_data_center();
     return request;
 }
 
@@ -120,6 +115,11 @@
         out->set_value(object.value);
     }
     encodeGenerations(reply.wanted, *message.mutable_wanted());
+    message.set_members_differ(reply.membersDiffer);
+    message.set_configuration_differs(reply.configurationDiffers);
+    message.set_is_cut(reply.isCut);
+    message.set_data_center(reply.dataCenter);
+    message.set_member_buckets(reply.memberBuckets);
     return message;
 }
 
@@ -134,6 +134,11 @@
         reply.newer.push_back({ object.kind(), object.name(), object.generation(), object.value() });
     }
     reply.wanted = decodeGenerations(message.wanted());
+    reply.membersDiffer = message.members_differ();
+    reply.configurationDiffers = message.configuration_differs();
+    reply.isCut = message.is_cut();
+    reply.dataCenter = message.data_center();
+    reply.memberBuckets = message.member_buckets();
     return reply;
 }
 
--- /dev/null
+++ b/tests/unit/membership_network.cpp
@@ -0,0 +1,199 @@
+/** @file membership_network.cpp Member tables joined by a queue of datagrams in virtual time, with faults. */
+
+#include "membership_network.h"
+
+#include <algorithm>
+
+namespace cicadamux::test {
+
+namespace {
+constexpr clock_ms step{ 10 };
+constexpr clock_ms tickPeriod{ 50 };
+constexpr clock_ms comparePeriod{ 1'000 };
+} // namespace
+
+gossip_network::gossip_network(std::uint64_t seed)
+    : m_engine(seed)
+{
+}
+
+network_node &gossip_network::start(const std::string &host, const std::string &dataCenter)
+{
+    network_node &node = nodes[host];
+    node.host = host;
+    node.dataCenter = dataCenter;
+    node.isRunning = true;
+    node.pausedUntil = now;
+    node.nextTick = now + clock_ms{ static_cast<std::int64_t>(m_engine() % 50) };
+    node.nextCompare = node.nextTick;
+    ++node.lives;
+    member_record self;
+    self.host = host;
+    self.dataCenter = dataCenter;
+    self.peerAddress = host;
+    self.incarnation.value = static_cast<std::uint64_t>(now.count);
+    member_hooks hooks;
+    hooks.send = [this, host](std::string_view to, const std::string &bytes) { send(host, to, bytes); };
+    hooks.exchange = [this, host](std::string_view to) { m_queue.emplace(now + step, datagram{ host, std::string(to), {} }); };
+    hooks.changeAnnounced = [&node](std::string_view, const change_announcement &) { ++node.changesHeard; };
+    node.table = std::make_unique<member_table>(settings, self, hooks, [engine = std::make_shared<std::mt19937_64>(m_engine())] { return (*engine)(); });
+    const std::vector<std::string> seeds{ nodes.begin()->first };
+    node.table->addSeeds(seeds);
+    return node;
+}
+
+void gossip_network::startMany(const std::string &prefix, std::size_t count, const std::string &dataCenter)
+{
+    for (std::size_t number = 0; number < count; ++number) {
+        start(prefix + std::to_string(number), dataCenter);
+    }
+}
+
+void gossip_network::kill(const std::string &host)
+{
+    nodes.at(host).isRunning = false;
+}
+
+void gossip_network::pause(const std::string &host, clock_ms span)
+{
+    nodes.at(host).pausedUntil = now + span;
+}
+
+bool gossip_network::isReady(const network_node &node) const
+{
+    return node.isRunning && node.pausedUntil <= now;
+}
+
+double gossip_network::share()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_engine);
+}
+
+void gossip_network::send(const std::string &from, std::string_view to, const std::string &bytes)
+{
+    nodes.at(from).bytesSent += bytes.size();
+    if ((reaches && !reaches(from, std::string(to))) || share() < faults.loss) {
+        return;
+    }
+    const int copies = share() < faults.duplication ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        const clock_ms delay{ 1 + static_cast<std::int64_t>(m_engine() % static_cast<std::uint64_t>(faults.delay)) };
+        m_queue.emplace(now + delay, datagram{ from, std::string(to), bytes });
+    }
+}
+
+bool gossip_network::connects(const std::string &one, const std::string &other) const
+{
+    return !reaches || (reaches(one, other) && reaches(other, one));
+}
+
+void gossip_network::exchange(const std::string &from, const std::string &to)
+{
+    const auto found = nodes.find(to);
+    if (found == nodes.end() || !isReady(found->second) || !isReady(nodes.at(from)) || !connects(from, to)) {
+        return;
+    }
+    const std::vector<member_record> own{ nodes.at(from).table->self() };
+    found->second.table->merge(own, now);
+    nodes.at(from).table->merge(found->second.table->records(), now);
+}
+
+void gossip_network::compare(network_node &node)
+{
+    std::vector<std::string> dataCenters = node.table->dataCenters();
+    if (!node.table->holdsDuty(digestDuty, digestHolders)) {
+        dataCenters = { node.dataCenter };
+    }
+    for (const std::string &dataCenter : dataCenters) {
+        const std::string peer = node.table->randomPeer(dataCenter);
+        const auto found = nodes.find(peer);
+        if (found == nodes.end() || !isReady(found->second) || !connects(node.host, peer)) {
+            continue;
+        }
+        const member_filter filter{ dataCenter, {} };
+        const auto own = node.table->digests(filter, memberBuckets);
+        const auto theirs = found->second.table->digests(filter, memberBuckets);
+        std::uint64_t buckets = 0;
+        for (std::size_t bucket = 0; bucket < memberBuckets; ++bucket) {
+            buckets |= std::uint64_t{ own[bucket] != theirs[bucket] } << bucket;
+        }
+        const auto records = found->second.table->recordsOf(filter, buckets);
+        if (dataCenter == node.dataCenter) {
+            node.table->merge(records, now);
+        } else {
+            node.table->mergeAuthoritative(filter, buckets, records, now);
+        }
+    }
+}
+
+void gossip_network::deliver()
+{
+    while (!m_queue.empty() && m_queue.begin()->first <= now) {
+        const datagram next = m_queue.begin()->second;
+        m_queue.erase(m_queue.begin());
+        const auto found = nodes.find(next.to);
+        if (found == nodes.end() || !found->second.isRunning) {
+            continue;
+        }
+        if (!isReady(found->second)) {
+            m_queue.emplace(found->second.pausedUntil, next);
+        } else if (next.bytes.empty()) {
+            exchange(next.from, next.to);
+        } else {
+            found->second.table->receive(next.from, next.bytes, now);
+        }
+    }
+}
+
+void gossip_network::run(clock_ms span)
+{
+    for (const clock_ms end = now + span; now < end; now += step) {
+        deliver();
+        for (auto &[host, node] : nodes) {
+            if (isReady(node) && node.nextTick <= now) {
+                node.nextTick = now + tickPeriod;
+                node.table->tick(now);
+            }
+            if (isReady(node) && node.nextCompare <= now) {
+                node.nextCompare = now + comparePeriod;
+                compare(node);
+            }
+        }
+    }
+}
+
+bool gossip_network::isSettled() const
+{
+    std::map<std::string, member_record> truth;
+    for (const auto &[host, node] : nodes) {
+        if (node.isRunning) {
+            truth[host] = node.table->self();
+        }
+    }
+    return count([&](const network_node &node) {
+               const std::vector<member_record> view = node.table->view();
+               return view.size() == truth.size() && std::ranges::all_of(view, [&](const member_record &record) {
+                          const auto found = truth.find(record.host);
+                          return found != truth.end() && found->second.incarnation == record.incarnation && found->second.revision == record.revision
+                              && found->second.state == record.state && found->second.server == record.server;
+                      });
+           })
+        == truth.size();
+}
+
+std::size_t gossip_network::count(const std::function<bool(const network_node &)> &predicate) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(nodes, [&](const auto &item) { return item.second.isRunning && predicate(item.second); }));
+}
+
+std::optional<member_record> seen(const network_node &by, const std::string &host)
+{
+    for (const member_record &record : by.table->view()) {
+        if (record.host == host) {
+            return record;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace cicadamux::test
