--- /dev/null
+++ b/tests/support/payload_func.h
@@ -0,0 +1,16 @@
+/** @file payload_func.h Bodies of test requests and their answers: they carry an id that the answer echoes. */
+
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace cicadamux::test {
+
+/** @return A request's body, `{"id":"..."}`. Ids are without quotes and backslashes. */
+std::string formatPayload(std::string_view id);
+
+/** @return The id in the body of a request or answer; empty if there is none. */
+std::string payloadId(std::string_view body);
+
+} // namespace cicadamux::test
