--- a/tests/standin/backend_standin_worker.cpp
+++ b/tests/standin/backend_standin_worker.cpp
@@ -64,7 +64,7 @@
     if (hits(backend_fault::shed)) {
         ++m_counters.shed;
         m_byCall.erase(item->call);
-        exchange->answer({ {}, {}, statusUnavailable, { { "cicadamux-shed", "1" } }, formatPayload(item->id) });
+        exchange->answer({ {}, {}, statusUnavailable, { { "cicadamux-shed", "1" }, { "cicadamux-call", item->call } }, formatPayload(item->id) });
         return;
     }
     m_queue.push_back(item);
@@ -145,7 +145,7 @@
     } else if (!ok) {
         answer.status = statusNextFailed;
     }
-    answer.headers = { { "content-type", "application/json" } };
+    answer.headers = { { "content-type", "application/json" }, { "cicadamux-call", item->call } };
     answer.body = R"({"id":")" + item->id + R"(","run":)" + std::to_string(item->run) + R"(,"service":")" + m_settings.service + R"("})";
     m_counters.answered += isFailed || !ok ? 0 : 1;
     m_counters.failed += isFailed || !ok ? 1 : 0;
--- /dev/null
+++ b/tests/support/raw_socket_base.h
@@ -0,0 +1,63 @@
+/** @file raw_socket_base.h Blocking sockets for tests that must send what no library would. */
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace cicadamux::test {
+
+/** A connection to a loopback address; each receive waits for at most a few seconds. */
+class raw_socket
+{
+public:
+    /** @param address `127.0.0.1:port`. */
+    explicit raw_socket(std::string_view address);
+    explicit raw_socket(int descriptor);
+    ~raw_socket();
+    raw_socket(const raw_socket &) = delete;
+    raw_socket &operator=(const raw_socket &) = delete;
+
+    /** Sends all bytes. */
+    void send(std::string_view bytes);
+
+    /** Says that nothing more is sent. */
+    void finishSending();
+
+    /** @return All bytes until the other side closes or is silent for too long. */
+    std::string receiveAll();
+
+    /** @return The bytes up to and with the marker; what came so far if the other side closes. */
+    std::string receiveUntil(std::string_view marker);
+
+private:
+    bool receiveSome(std::string &bytes);
+
+    int m_descriptor;
+};
+
+/** Accepts connections on a free loopback port and gives each one to a function, one after another. */
+class raw_server
+{
+public:
+    explicit raw_server(std::function<void(raw_socket &)> serve);
+    ~raw_server();
+    raw_server(const raw_server &) = delete;
+    raw_server &operator=(const raw_server &) = delete;
+
+    /** @return `127.0.0.1:port`. */
+    const std::string &address() const;
+
+private:
+    std::string m_address; ///< Filled in while the descriptor is made.
+    int m_descriptor;
+    std::thread m_thread;
+};
+
+/** @return A loopback address that nothing listens on. */
+std::string unusedAddress();
+
+} // namespace cicadamux::test
--- /dev/null
+++ b/tests/unit/http_server_test.cpp
@@ -0,0 +1,137 @@
+/** @file http_server_test.cpp The HTTP listener against callers that don't keep to the protocol. */
+
+#include "http/http_server_base.h"
+#include "support/io_threads_base.h"
+#include "support/raw_socket_base.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+
+using namespace cicadamux;
+using namespace cicadamux::test;
+
+namespace {
+
+http_response typedResponse(outcome_reason reason)
+{
+    http_response response;
+    response.status = statusOf(reason);
+    response.body = std::string(toString(reason));
+    return response;
+}
+
+/** Answers each request with its body. */
+void echo(http_request request, const std::shared_ptr<http_exchange> &exchange)
+{
+    http_response response;
+    response.body = request.body;
+    exchange->respond(std::move(response));
+}
+
+http_limits smallLimits()
+{
+    http_limits limits;
+    limits.maxHeaderBytes = 1'024;
+    limits.maxBodyBytes = 1'000;
+    limits.requestTimeout = { 200 };
+    return limits;
+}
+
+bool stillServes(const http_server &server)
+{
+    raw_socket socket(server.boundAddress());
+    socket.send("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello");
+    return socket.receiveAll().ends_with("\r\n\r\nhello");
+}
+
+} // namespace
+
+TEST_CASE("malformed and oversized requests get a typed answer and the listener keeps serving")
+{
+    io_threads io;
+    http_server server(io.context, "127.0.0.1:0", smallLimits(), echo, typedResponse);
+    struct bad_input {
+        std::string bytes;
+        outcome_reason reason;
+    };
+    const std::vector<bad_input> inputs = {
+        { "NONSENSE\r\n\r\n", outcome_reason::bad_request },
+        { "GET / HTTP/9.9\r\n\r\n", outcome_reason::bad_request },
+        { "GET / HTTP/1.1\r\nno colon here\r\n\r\n", outcome_reason::bad_request },
+        { "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n", outcome_reason::bad_request },
+        { "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello", outcome_reason::bad_request },
+        { "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", outcome_reason::bad_request },
+        { "GET / HTTP/1.1\r\nx: " + std::string(4'000, 'a') + "\r\n\r\n", outcome_reason::too_large },
+        { "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n", outcome_reason::too_large },
+    };
+    for (const bad_input &input : inputs) {
+        CAPTURE(input.bytes.substr(0, 60));
+        raw_socket socket(server.boundAddress());
+        socket.send(input.bytes);
+        CHECK(socket.receiveAll().ends_with(std::string(toString(input.reason))));
+    }
+    CHECK(stillServes(server));
+}
+
+TEST_CASE("a request that says a length it doesn't send ends in a typed answer, by time or by its end")
+{
+    io_threads io;
+    http_server server(io.context, "127.0.0.1:0", smallLimits(), echo, typedResponse);
+    raw_socket silent(server.boundAddress());
+    silent.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+    CHECK(silent.receiveAll().ends_with("bad_request"));
+    raw_socket ended(server.boundAddress());
+    ended.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+    ended.finishSending();
+    CHECK(ended.receiveAll().ends_with("bad_request"));
+    CHECK(stillServes(server));
+}
+
+TEST_CASE("two requests in one packet are answered in their order")
+{
+    io_threads io;
+    http_server server(io.context, "127.0.0.1:0", smallLimits(), echo, typedResponse);
+    raw_socket socket(server.boundAddress());
+    socket.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\noneGET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 3\r\n\r\ntwo");
+    const std::string answers = socket.receiveAll();
+    CHECK(answers.find("\r\n\r\none") < answers.find("\r\n\r\ntwo"));
+    CHECK(answers.ends_with("two"));
+}
+
+TEST_CASE("the owner of a request hears that its caller has gone")
+{
+    io_threads io;
+    std::promise<void> gone;
+    const auto wait = [&gone](const http_request &, const std::shared_ptr<http_exchange> &exchange) { exchange->onGone([&gone] { gone.set_value(); }); };
+    http_server server(io.context, "127.0.0.1:0", smallLimits(), wait, typedResponse);
+    {
+        raw_socket socket(server.boundAddress());
+        socket.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    CHECK(gone.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+}
+
+TEST_CASE("a connection beyond the limit is refused aloud")
+{
+    io_threads io;
+    http_limits limits = smallLimits();
+    limits.maxConnections = 1;
+    http_server server(io.context, "127.0.0.1:0", limits, echo, typedResponse);
+    raw_socket first(server.boundAddress());
+    first.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello");
+    CHECK(first.receiveUntil("hello").ends_with("hello"));
+    raw_socket second(server.boundAddress());
+    CHECK(second.receiveAll().ends_with("daemon_busy"));
+}
+
+TEST_CASE("an address that can't be used is a typed error")
+{
+    io_threads io;
+    const std::vector<std::string> addresses = { "127.0.0.1", "localhost:1", "127.0.0.1:x", "127.0.0.1:70000", "203.0.113.1:1" };
+    for (const std::string &address : addresses) {
+        CAPTURE(address);
+        CHECK_THROWS_AS(http_server(io.context, address, smallLimits(), echo, typedResponse), address_error);
+    }
+}
