Add: Refusals are recorded, and an early refusal names the service that it is for

Cause: an operator asks why one root was refused; entry and gate threw that away. Change: gate and entry write to the refusal log; refuseEarly() returns the whole detail, with the service whose gates refuse and the rank they admit; a backend server can be drained by an operator's word. Ruled out: recording in the dispatcher, which knows neither the queue nor the limit.

--- a/src/daemon/backend_link.cpp
+++ b/src/daemon/backend_link.cpp
@@ -118,6 +118,10 @@
     backend_server server = parseAnnouncement(text);
     const std::lock_guard lock(m_mutex);
     m_lastHeard = now;
+    m_announcedState = server.state;
+    if (m_drainedByOperator) {
+        server.state = server_state::draining;
+    }
     const auto before = m_current.load();
     const bool known = before->client && isSameServer(*before, server);
     if (known && before->slots == server.slots && before->state == server.state) {
@@ -137,6 +141,18 @@
     replace(std::move(server));
 }
 
+void backend_link::setDraining(bool draining)
+{
+    const std::lock_guard lock(m_mutex);
+    m_drainedByOperator = draining;
+    backend_server server = *m_current.load();
+    const server_state wanted = draining ? server_state::draining : m_announcedState;
+    if (server.state != server_state::absent && server.state != wanted) {
+        server.state = wanted;
+        replace(std::move(server));
+    }
+}
+
 void backend_link::tick(clock_ms now)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/daemon/backend_link_base.h
+++ b/src/daemon/backend_link_base.h
@@ -63,6 +63,9 @@
      */
     void announce(std::string_view json, clock_ms now);
 
+    /** Drains the backend server by an operator's word, whatever it announces, or ends that. */
+    void setDraining(bool draining);
+
     /** Ends the announcement if the backend server has been silent for too long. */
     void tick(clock_ms now);
 
@@ -82,6 +85,8 @@
     std::mutex m_mutex; ///< Serializes announcements and ticks.
     clock_ms m_lastHeard;
     std::uint64_t m_lives = 0;
+    bool m_drainedByOperator = false;
+    server_state m_announcedState = server_state::absent;
 };
 
 } // namespace cicadamux
--- a/src/daemon/call_entry.cpp
+++ b/src/daemon/call_entry.cpp
@@ -65,14 +65,16 @@
     entered->exchange = std::move(exchange);
     entered->id = call_id{ secureRandom() | 1U };
     entered->request.context.root = root_id{ secureRandom() | 1U };
-    outcome_reason reason = resolve(*entered, std::move(request));
-    if (reason == outcome_reason::none) {
-        reason = refuseEarly(*entered);
-    }
+    const outcome_reason reason = resolve(*entered, std::move(request));
     if (reason != outcome_reason::none) {
         refuse(*entered, reason);
         return;
     }
+    const refusal_detail early = refuseEarly(*entered);
+    if (early.reason != outcome_reason::none) {
+        refuse(*entered, early);
+        return;
+    }
     run(entered, [this, entered](call_result result) {
         if (result.outcome != call_outcome::answered) {
             m_core.callers.noteUnanswered(entered->caller, entered->requestHash, steadyNow());
@@ -121,26 +123,37 @@
     return outcome_reason::none;
 }
 
-outcome_reason call_entry::refuseEarly(entered_call &entered) const
+refusal_detail call_entry::refuseEarly(const entered_call &entered) const
 {
+    const call_request &request = entered.request;
+    const auto refused = [&](outcome_reason reason) { return refusalHere(m_core, reason, request.service, request.operation); };
     if (m_core.stopping) {
-        return outcome_reason::draining;
+        return refused(outcome_reason::draining);
     }
     if (m_core.dispatched >= m_core.settings.maxCalls) {
-        return outcome_reason::daemon_busy;
+        return refused(outcome_reason::daemon_busy);
     }
-    const clock_ms now = steadyNow();
     if (!m_core.settings.gate.enabled) {
-        return outcome_reason::none;
+        return {};
     }
-    if (!m_core.callers.admit(entered.caller, entered.requestHash, now)) {
-        return outcome_reason::retries_exhausted;
+    if (!m_core.callers.admit(entered.caller, entered.requestHash, steadyNow())) {
+        return refused(outcome_reason::retries_exhausted);
     }
+    return refuseByLevels(entered);
+}
+
+refusal_detail call_entry::refuseByLevels(const entered_call &entered) const
+{
     std::vector<std::string> services = entered.passesThrough;
     services.push_back(entered.request.service);
     const call_context &context = entered.request.context;
-    const early_refusal early = m_core.levels.check(services, context.rank, context.root, context.isProtected, now);
-    return early.refused ? outcome_reason::overloaded : outcome_reason::none;
+    const early_refusal early = m_core.levels.check(services, context.rank, context.root, context.isProtected, steadyNow());
+    if (!early.refused) {
+        return {};
+    }
+    refusal_detail detail = refusalHere(m_core, outcome_reason::overloaded, early.service, entered.request.operation);
+    detail.rankAdmitted = early.rankAdmitted;
+    return detail;
 }
 
 void call_entry::enterFromBackend(http_request request, std::shared_ptr<http_exchange> exchange)
@@ -225,7 +238,11 @@
 
 void call_entry::refuse(const entered_call &entered, outcome_reason reason)
 {
-    const refusal_detail detail = refusalHere(m_core, reason, entered.request.service, entered.request.operation);
+    refuse(entered, refusalHere(m_core, reason, entered.request.service, entered.request.operation));
+}
+
+void call_entry::refuse(const entered_call &entered, const refusal_detail &detail)
+{
     m_refused(entered.request, detail);
     respond(entered, makeRefused(detail, entered.request.context.retryAllowance));
 }
--- a/src/daemon/call_entry_base.h
+++ b/src/daemon/call_entry_base.h
@@ -37,11 +37,13 @@
     void enterFromBackend(http_request request, std::shared_ptr<http_exchange> exchange);
     outcome_reason resolve(entered_call &entered, http_request request) const;
     outcome_reason inherit(entered_call &entered, std::string_view contextText) const;
-    outcome_reason refuseEarly(entered_call &entered) const;
+    refusal_detail refuseEarly(const entered_call &entered) const;
+    refusal_detail refuseByLevels(const entered_call &entered) const;
     void run(const std::shared_ptr<entered_call> &entered, std::function<void(call_result)> ended);
     void runChild(const std::shared_ptr<entered_call> &entered);
     void respond(const entered_call &entered, call_result result);
     void refuse(const entered_call &entered, outcome_reason reason);
+    void refuse(const entered_call &entered, const refusal_detail &detail);
     void handleAnnouncement(const http_request &request, http_exchange &exchange);
     void handleTicket(const http_request &request, http_exchange &exchange);
     void handleVoid(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -10,6 +10,7 @@
 #include "daemon/upstream_list_base.h"
 #include "fleet/fleet_base.h"
 #include "http/http_server_base.h"
+#include "operator/refusal_log_base.h"
 #include "peer/peer_server_base.h"
 
 #include <boost/asio/io_context.hpp>
@@ -55,6 +56,7 @@
     void viewChanged(const std::vector<member_record> &view);
     void backendChanged(const backend_server &before, const backend_server &after);
     void gateRefused(const call_request &request, const gate_decision &decision, const gate_snapshot &gate);
+    void recordRefusal(const call_request &request, outcome_reason reason, int rankAdmitted, const gate_decision *decision, const gate_snapshot *gate);
     void entryRefused(const call_request &request, const refusal_detail &detail);
     void handleAdmin(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
     bool isReady() const;
@@ -80,6 +82,7 @@
     boost::asio::steady_timer m_housekeepingTimer;
     boost::asio::steady_timer m_drainTimer;
     std::atomic<bool> m_ended{ false };
+    refusal_log m_refusals;
     std::mutex m_viewMutex; ///< Serializes viewChanged().
     upstream_list m_upstreams;
 };
--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -53,6 +53,7 @@
     , m_gateTimer(context)
     , m_housekeepingTimer(context)
     , m_drainTimer(context)
+    , m_refusals(settings.refusalRecords, wallNow())
 {
 }
 
@@ -130,9 +131,36 @@
     m_fleet->setServer(after.service, after.state, after.slots);
 }
 
-void daemon_process::gateRefused(const call_request &, const gate_decision &, const gate_snapshot &) { }
+void daemon_process::gateRefused(const call_request &request, const gate_decision &decision, const gate_snapshot &gate)
+{
+    recordRefusal(request, decision.reason, decision.rankAdmitted, &decision, &gate);
+}
+
+void daemon_process::entryRefused(const call_request &request, const refusal_detail &detail)
+{
+    recordRefusal(request, detail.reason, detail.rankAdmitted, nullptr, nullptr);
+}
 
-void daemon_process::entryRefused(const call_request &, const refusal_detail &) { }
+void daemon_process::recordRefusal(
+    const call_request &request, outcome_reason reason, int rankAdmitted, const gate_decision *decision, const gate_snapshot *gate)
+{
+    refusal_record record;
+    record.root = request.context.root;
+    record.service = request.service;
+    record.operation = request.operation;
+    record.callClass = request.context.callClass;
+    record.rank = request.context.rank;
+    record.reason = reason;
+    record.rankAdmitted = rankAdmitted;
+    record.host = m_core.settings.host;
+    record.dataCenter = m_core.settings.dataCenter;
+    if (decision != nullptr && gate != nullptr) {
+        record.waited = decision->waited;
+        record.queueLength = gate->waiting;
+        record.limit = gate->limit;
+    }
+    m_refusals.add(std::move(record), wallNow());
+}
 
 void daemon_process::handleAdmin(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
