Add: A refused ticket is closed for good, and leaves keep their parent's allowance

Cause: an attempt of a call with a ticket may still be on its way (a paused home, another edge) when a later attempt is refused and its caller told `not run`. If the ticket stayed usable, the earlier attempt could run afterwards, while the caller takes a new ticket. ticket_home::refuse() closes the ticket; so does a refusal for want of room, by a mark over the expiries. notRun() keeps its meaning.

Cause: with one extra attempt left, the part lent to a leaf call is lost with its answer, and the holder can't repeat it. openChild() takes whether the child calls others; a leaf gets no part.

--- a/src/retry/retry_ledger.cpp
+++ b/src/retry/retry_ledger.cpp
@@ -118,7 +118,7 @@
     return drawn;
 }
 
-child_grant retry_ledger::openChild(call_id parent, child_key key)
+child_grant retry_ledger::openChild(call_id parent, child_key key, bool mayCallOthers)
 {
     ledger_shard &shard = m_state->shardOf(parent);
     const std::lock_guard lock(shard.mutex);
@@ -130,7 +130,7 @@
     held_call &held = found->second;
     grant.isRepeat = isRepeatedChild(held, key.hash);
     grant.allowed = !grant.isRepeat || drawOne(held);
-    if (grant.allowed) {
+    if (grant.allowed && mayCallOthers) {
         grant.part = lendPart(held);
     }
     checkBound(held);
--- a/src/retry/retry_ledger_base.h
+++ b/src/retry/retry_ledger_base.h
@@ -47,8 +47,12 @@
     /** Draws one extra attempt for the call itself. @return Whether there was one. */
     bool spend(call_id call);
 
-    /** Lends a part of a held call's allowance to a child that its backend server calls. */
-    child_grant openChild(call_id parent, child_key key);
+    /**
+     * Lends a part of a held call's allowance to a child that its backend server calls: half of what is left, rounded up.
+     * @param mayCallOthers Whether the child's operation passes through other services; a leaf has no use for a part, which would be lost with
+     * its answer when it is needed for the repeat.
+     */
+    child_grant openChild(call_id parent, child_key key, bool mayCallOthers = true);
 
     /** Takes back what a child didn't spend; 0 if its answer was lost. The child's key stays known until the parent closes. */
     void closeChild(call_id parent, std::uint32_t part, std::uint32_t unspent);
--- a/src/ticket/ticket_home.cpp
+++ b/src/ticket/ticket_home.cpp
@@ -3,21 +3,16 @@
 #include "ticket/ticket_home_base.h"
 
 #include "core/invariant_func.h"
-#include "ticket/ticket_record_type.h"
+#include "ticket/ticket_memory_base.h"
 
 #include <algorithm>
-#include <array>
-#include <atomic>
 #include <utility>
 
 namespace cicadamux {
 
 namespace {
-constexpr std::size_t shardCount = 32; ///< Locks.
-constexpr clock_ms keptAfterExpiry{ 2 * ticketLifetime }; ///< How long records outlive their ticket.
 constexpr std::size_t maxWaiters = 16; ///< Repeats of one ticket that wait at a time.
-constexpr std::size_t maxResultBytes = 65'536; ///< Largest answer that is kept for repeats.
-constexpr std::size_t maxKeptBytes = 33'554'432; ///< Of all kept answers together.
+constexpr clock_ms closableAhead{ 2 * ticketLifetime }; ///< How far ahead an expiry may lie that closes others when the memory is full.
 
 using detail::ticket_key;
 using detail::ticket_phase;
@@ -25,22 +20,6 @@
 using detail::ticket_shard;
 using shared_result = std::shared_ptr<const call_result>;
 
-ticket_key keyOf(const ticket &subject)
-{
-    const std::uint64_t service = hashBytes(subject.service, subject.service.size());
-    const std::uint64_t operation = hashBytes(subject.operation, service);
-    return { subject.nonce, hashNumber(static_cast<std::uint64_t>(subject.expiry.count), operation) };
-}
-
-std::size_t sizeOf(const call_result &result)
-{
-    std::size_t bytes = result.body.size();
-    for (const http_field &field : result.headers) {
-        bytes += field.name.size() + field.value.size();
-    }
-    return bytes;
-}
-
 ticket_begin makeRefusal(outcome_reason reason)
 {
     return { ticket_verdict::refuse, reason, nullptr };
@@ -71,37 +50,36 @@
 {
     shard.closedUpTo = std::max(shard.closedUpTo, subject.expiry);
 }
+
+/**
+ * Closes a ticket that there is no room to remember, and with it all unseen ones of the shard that expire earlier.
+ * @return False for an expiry so far ahead that it would close tickets yet to be issued.
+ */
+bool closeForWantOfRoom(ticket_shard &shard, const ticket &subject, clock_ms wallNow)
+{
+    if (subject.expiry > wallNow + closableAhead) {
+        return false;
+    }
+    closeUnseen(shard, subject);
+    return true;
+}
 } // namespace
 
 struct ticket_home::state {
     std::string host;
     incarnation_id incarnation;
-    std::size_t capacity; ///< Records, over all shards.
-    std::atomic<std::size_t> recordCount{ 0 };
-    std::atomic<std::size_t> keptBytes{ 0 };
-    std::array<ticket_shard, shardCount> shards;
+    detail::ticket_memory memory;
 
-    bool isHomeOf(const ticket &subject) const
+    state(std::string homeHost, incarnation_id life, std::size_t capacity)
+        : host(std::move(homeHost))
+        , incarnation(life)
+        , memory(capacity)
     {
-        return subject.homeHost == host && subject.homeIncarnation == incarnation;
-    }
-
-    ticket_shard &shardOf(const ticket_key &key)
-    {
-        return shards.at(detail::ticket_key_hash{}(key) % shardCount);
     }
 
-    /** @return The new record, or nothing if the memory is full. */
-    ticket_record *addRecord(ticket_shard &shard, const ticket_key &key, clock_ms expiry)
+    bool isHomeOf(const ticket &subject) const
     {
-        if (recordCount.fetch_add(1) >= capacity) {
-            recordCount.fetch_sub(1);
-            return nullptr;
-        }
-        ticket_record &record = shard.records[key];
-        record.expiry = expiry;
-        shard.dues.push({ expiry + keptAfterExpiry, key });
-        return &record;
+        return subject.homeHost == host && subject.homeIncarnation == incarnation;
     }
 
     ticket_begin beginUnseen(ticket_shard &shard, const ticket &subject, clock_ms wallNow)
@@ -113,8 +91,9 @@
             closeUnseen(shard, subject);
             return makeRefusal(outcome_reason::ticket_expired);
         }
-        if (addRecord(shard, keyOf(subject), subject.expiry) == nullptr) {
-            return makeRefusal(outcome_reason::daemon_busy);
+        if (memory.addRecord(shard, detail::keyOf(subject), subject.expiry) == nullptr) {
+            const bool isClosed = closeForWantOfRoom(shard, subject, wallNow);
+            return makeRefusal(isClosed ? outcome_reason::daemon_busy : outcome_reason::ticket_home_gone);
         }
         return { ticket_verdict::run, outcome_reason::none, nullptr };
     }
@@ -138,42 +117,22 @@
         return { ticket_verdict::wait, outcome_reason::none, nullptr };
     }
 
-    /** Keeps the answer, or that there was one if it is too large to keep. */
-    void keepResult(ticket_record &record, const ticket &subject, const shared_result &result)
-    {
-        const std::size_t bytes = result ? sizeOf(*result) : 0;
-        const bool fits = bytes <= maxResultBytes && keptBytes.fetch_add(bytes) + bytes <= maxKeptBytes;
-        if (result && fits) {
-            record.keptBytes = bytes;
-            record.result = result;
-            return;
-        }
-        if (bytes <= maxResultBytes) {
-            keptBytes.fetch_sub(bytes);
-        }
-        refusal_detail lost;
-        lost.reason = outcome_reason::answer_broken;
-        lost.service = subject.service;
-        lost.operation = subject.operation;
-        lost.host = host;
-        record.result = std::make_shared<const call_result>(makeRefused(std::move(lost), 0));
-    }
-
-    void forgetDue(ticket_shard &shard, clock_ms wallNow)
+    /** Takes a ticket back from a call that wasn't sent. @return The repeats that wait. */
+    std::vector<ticket_waiter> release(const ticket &subject, bool isClosed)
     {
-        while (!shard.dues.empty() && shard.dues.top().due <= wallNow) {
-            const detail::record_due due = shard.dues.top();
-            shard.dues.pop();
-            const auto found = shard.records.find(due.key);
-            if (found->second.phase == ticket_phase::running) {
-                shard.dues.push({ wallNow + keptAfterExpiry, due.key });
-                continue;
-            }
-            shard.forgottenUpTo = std::max(shard.forgottenUpTo, found->second.expiry);
-            keptBytes.fetch_sub(found->second.keptBytes);
-            recordCount.fetch_sub(1);
-            shard.records.erase(found);
+        const ticket_key key = detail::keyOf(subject);
+        ticket_shard &shard = memory.shardOf(key);
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.records.find(key);
+        if (found == shard.records.end() || found->second.phase != ticket_phase::running) {
+            return {};
         }
+        ticket_record &record = found->second;
+        record.phase = ticket_phase::idle;
+        record.closed = record.closed || isClosed;
+        record.runs -= record.sent ? 1 : 0;
+        record.sent = false;
+        return std::exchange(record.waiters, {});
     }
 
     bool voidUnseen(ticket_shard &shard, const ticket &subject, clock_ms wallNow)
@@ -185,9 +144,9 @@
             closeUnseen(shard, subject);
             return true;
         }
-        ticket_record *record = addRecord(shard, keyOf(subject), subject.expiry);
+        ticket_record *record = memory.addRecord(shard, detail::keyOf(subject), subject.expiry);
         if (record == nullptr) {
-            return false;
+            return closeForWantOfRoom(shard, subject, wallNow);
         }
         record->phase = ticket_phase::idle;
         record->closed = true;
@@ -208,11 +167,8 @@
 };
 
 ticket_home::ticket_home(std::string host, incarnation_id incarnation, std::size_t capacity)
-    : m_state(std::make_unique<state>())
+    : m_state(std::make_unique<state>(std::move(host), incarnation, capacity))
 {
-    m_state->host = std::move(host);
-    m_state->incarnation = incarnation;
-    m_state->capacity = capacity;
 }
 
 ticket_home::~ticket_home() = default;
@@ -222,8 +178,8 @@
     if (!m_state->isHomeOf(subject)) {
         return makeRefusal(outcome_reason::ticket_home_gone);
     }
-    const ticket_key key = keyOf(subject);
-    ticket_shard &shard = m_state->shardOf(key);
+    const ticket_key key = detail::keyOf(subject);
+    ticket_shard &shard = m_state->memory.shardOf(key);
     const std::lock_guard lock(shard.mutex);
     const auto found = shard.records.find(key);
     if (found == shard.records.end()) {
@@ -244,8 +200,8 @@
     if (!m_state->isHomeOf(subject)) {
         return false;
     }
-    const ticket_key key = keyOf(subject);
-    ticket_shard &shard = m_state->shardOf(key);
+    const ticket_key key = detail::keyOf(subject);
+    ticket_shard &shard = m_state->memory.shardOf(key);
     const std::lock_guard lock(shard.mutex);
     const auto found = shard.records.find(key);
     if (found == shard.records.end() || found->second.phase != ticket_phase::running || found->second.sent) {
@@ -266,8 +222,8 @@
 
 void ticket_home::finish(const ticket &subject, std::shared_ptr<const call_result> result)
 {
-    const ticket_key key = keyOf(subject);
-    ticket_shard &shard = m_state->shardOf(key);
+    const ticket_key key = detail::keyOf(subject);
+    ticket_shard &shard = m_state->memory.shardOf(key);
     std::vector<ticket_waiter> waiters;
     {
         const std::lock_guard lock(shard.mutex);
@@ -277,7 +233,7 @@
         }
         ticket_record &record = found->second;
         record.phase = ticket_phase::ended;
-        m_state->keepResult(record, subject, result);
+        m_state->memory.keepResult(record, subject, m_state->host, result);
         waiters.swap(record.waiters);
         result = result ? result : record.result;
     }
@@ -286,23 +242,14 @@
 
 void ticket_home::notRun(const ticket &subject, std::shared_ptr<const call_result> result)
 {
-    const ticket_key key = keyOf(subject);
-    ticket_shard &shard = m_state->shardOf(key);
-    std::vector<ticket_waiter> waiters;
-    {
-        const std::lock_guard lock(shard.mutex);
-        const auto found = shard.records.find(key);
-        if (found == shard.records.end() || found->second.phase != ticket_phase::running) {
-            return;
-        }
-        ticket_record &record = found->second;
-        record.phase = ticket_phase::idle;
-        record.runs -= record.sent ? 1 : 0;
-        record.sent = false;
-        waiters.swap(record.waiters);
-    }
     const shared_result told = std::move(result);
-    tellWaiters(waiters, told);
+    tellWaiters(m_state->release(subject, false), told);
+}
+
+void ticket_home::refuse(const ticket &subject, std::shared_ptr<const call_result> result)
+{
+    const shared_result told = std::move(result);
+    tellWaiters(m_state->release(subject, true), told);
 }
 
 bool ticket_home::voidTicket(const ticket &subject, clock_ms wallNow)
@@ -310,8 +257,8 @@
     if (!m_state->isHomeOf(subject)) {
         return false;
     }
-    const ticket_key key = keyOf(subject);
-    ticket_shard &shard = m_state->shardOf(key);
+    const ticket_key key = detail::keyOf(subject);
+    ticket_shard &shard = m_state->memory.shardOf(key);
     const std::lock_guard lock(shard.mutex);
     const auto found = shard.records.find(key);
     if (found == shard.records.end()) {
@@ -322,10 +269,7 @@
 
 void ticket_home::tick(clock_ms wallNow)
 {
-    for (ticket_shard &shard : m_state->shards) {
-        const std::lock_guard lock(shard.mutex);
-        m_state->forgetDue(shard, wallNow);
-    }
+    m_state->memory.forgetAllDue(wallNow);
 }
 
 } // namespace cicadamux
--- a/src/ticket/ticket_home_base.h
+++ b/src/ticket/ticket_home_base.h
@@ -51,9 +51,15 @@
     /** Records the outcome of a call that was sent; repeats get it from now on. */
     void finish(const ticket &subject, std::shared_ptr<const call_result> result);
 
-    /** Records that nothing was sent: the ticket may be used again until it expires. Waiters are told `result`. */
+    /** Records that nothing was sent, and that nobody was told so: the ticket may be used again until it expires. Waiters are told `result`. */
     void notRun(const ticket &subject, std::shared_ptr<const call_result> result);
 
+    /**
+     * Records that nothing was sent, and that the caller is told so: the ticket is closed for good, so that an earlier attempt of the same call
+     * which is still on its way can't run after its caller was told `not run`. Waiters are told `result`.
+     */
+    void refuse(const ticket &subject, std::shared_ptr<const call_result> result);
+
     /** @return True if the ticket has surely not run and never will. */
     bool voidTicket(const ticket &subject, clock_ms wallNow);
 
--- a/src/ticket/ticket_record_type.h
+++ b/src/ticket/ticket_record_type.h
@@ -42,7 +42,7 @@
 struct ticket_record {
     clock_ms expiry; ///< Of the ticket.
     ticket_phase phase = ticket_phase::running;
-    bool closed = false; ///< Voided, or refused as expired: no call may be sent any more.
+    bool closed = false; ///< Voided, refused or expired: no call may be sent any more.
     bool sent = false; ///< The call that holds it was let through by confirmSend().
     std::uint32_t runs = 0; ///< Calls let through, less those that turned out not to be sent.
     std::size_t keptBytes = 0; ///< Size of `result`.
@@ -50,7 +50,7 @@
     std::vector<ticket_waiter> waiters; ///< Repeats that wait for the outcome.
 };
 
-/** When a record may be forgotten. */
+/** When to decide whether a record may be forgotten. */
 struct record_due {
     clock_ms due;
     ticket_key key;
@@ -71,7 +71,7 @@
     std::unordered_map<ticket_key, ticket_record, ticket_key_hash> records;
     std::priority_queue<record_due, std::vector<record_due>, std::greater<>> dues; ///< One for each record.
     clock_ms forgottenUpTo{ INT64_MIN }; ///< Latest expiry of a forgotten record.
-    clock_ms closedUpTo{ INT64_MIN }; ///< Latest expiry of a ticket that was refused as expired without a record.
+    clock_ms closedUpTo{ INT64_MIN }; ///< Latest expiry of a ticket that was refused without a record, or forgotten without having run.
 };
 
 } // namespace cicadamux::detail
--- a/tests/unit/retry_ledger_test.cpp
+++ b/tests/unit/retry_ledger_test.cpp
@@ -96,7 +96,7 @@
 
     void callChild(std::size_t index, std::uint64_t key)
     {
-        const child_grant grant = ledgerOf(index).openChild(m_calls[index].id, { key });
+        const child_grant grant = ledgerOf(index).openChild(m_calls[index].id, { key }, below(4) != 0);
         if (!grant.allowed) {
             return;
         }
@@ -162,6 +162,7 @@
     ledger.closeChild(parent, second.part, 0);
     CHECK(ledger.left(parent) == 2);
     ledger.openChild(parent, { 12 });
+    CHECK(ledger.openChild(parent, { 13 }, false).part == 0);
     CHECK(ledger.close(parent) == 1);
 }
 
--- a/tests/unit/ticket_home_test.cpp
+++ b/tests/unit/ticket_home_test.cpp
@@ -51,7 +51,7 @@
 
 struct ticket_truth {
     int runs = 0; ///< Calls that reached the backend server and weren't shed.
-    bool saidNotRun = false; ///< For good: voided, or expired.
+    bool saidNotRun = false; ///< Voided, or refused.
 };
 
 /** Random schedules of calls, repeats, voids, kills, pauses and clock jumps over a few tickets. */
@@ -60,6 +60,7 @@
 public:
     explicit ticket_world(std::uint64_t seed)
         : m_random(seed)
+        , m_capacity(seed % 3 == 0 ? capacity / 8 : capacity)
     {
         startLife();
     }
@@ -115,7 +116,7 @@
             checkOutcome(nonce, *decision.result);
         } else if (decision.verdict == ticket_verdict::refuse && outcomeOf(decision.reason) == call_outcome::not_run) {
             REQUIRE(m_truths[nonce].runs == 0);
-            m_truths[nonce].saidNotRun = m_truths[nonce].saidNotRun || decision.reason == outcome_reason::ticket_expired;
+            m_truths[nonce].saidNotRun = true;
         }
     }
 
@@ -150,13 +151,23 @@
         }
         if (!held.isSent || below(4) == 0) {
             truth.runs -= held.isSent ? 1 : 0;
-            home.notRun(held.subject, makeNotRun());
+            releaseUnsent(home, held.subject);
         } else {
             home.finish(held.subject, makeAnswer(std::to_string(held.subject.nonce)));
         }
         m_held.erase(m_held.begin() + static_cast<std::ptrdiff_t>(index));
     }
 
+    void releaseUnsent(ticket_home &home, const ticket &subject)
+    {
+        if (below(2) == 0) {
+            home.notRun(subject, makeNotRun());
+            return;
+        }
+        home.refuse(subject, makeNotRun());
+        m_truths[subject.nonce].saidNotRun = true;
+    }
+
     void voidOne(const ticket &subject, std::size_t life)
     {
         if (m_lives[life].home->voidTicket(subject, m_wall)) {
@@ -168,7 +179,7 @@
     void startLife()
     {
         const incarnation_id life{ firstLife.value + m_started++ };
-        m_lives.push_back({ life, std::make_unique<ticket_home>("host-a", life, capacity) });
+        m_lives.push_back({ life, std::make_unique<ticket_home>("host-a", life, m_capacity) });
     }
 
     void killOrStart()
@@ -197,6 +208,7 @@
     }
 
     std::mt19937_64 m_random;
+    std::size_t m_capacity;
     clock_ms m_wall{ 1'000'000'000 };
     std::uint64_t m_started = 0;
     std::vector<home_life> m_lives;
@@ -296,6 +308,13 @@
     CHECK_FALSE(home.confirmSend(voided, { 0 }));
     home.notRun(voided, makeNotRun());
     CHECK((home.begin(voided, { 0 }, {}).reason == outcome_reason::ticket_expired));
+
+    const ticket refused = makeTicket(5, { 5'000 });
+    CHECK(home.begin(refused, { 0 }, {}).verdict == ticket_verdict::run);
+    home.notRun(refused, makeNotRun());
+    CHECK(home.begin(refused, { 0 }, {}).verdict == ticket_verdict::run);
+    home.refuse(refused, makeNotRun());
+    CHECK((home.begin(refused, { 0 }, {}).reason == outcome_reason::ticket_expired));
 }
 
 TEST_CASE("a full memory refuses new tickets and keeps the old; an answer too large to keep is said to be unknown")
@@ -304,10 +323,12 @@
     const ticket first = makeTicket(1, { 1'000 });
     CHECK(home.begin(first, { 0 }, {}).verdict == ticket_verdict::run);
     CHECK((home.begin(makeTicket(2, { 1'000 }), { 0 }, {}).reason == outcome_reason::daemon_busy));
-    CHECK_FALSE(home.voidTicket(makeTicket(2, { 1'000 }), { 0 }));
+    CHECK(home.voidTicket(makeTicket(2, { 1'000 }), { 0 }));
+    CHECK((home.begin(makeTicket(2, { 100'000 }), { 0 }, {}).reason == outcome_reason::ticket_home_gone));
     CHECK(home.confirmSend(first, { 0 }));
     home.finish(first, makeAnswer(std::string(100'000, 'x')));
     CHECK((home.begin(first, { 0 }, {}).result->outcome == call_outcome::unknown));
     home.tick({ 61'000 });
+    CHECK((home.begin(makeTicket(2, { 1'000 }), { 0 }, {}).reason != outcome_reason::none));
     CHECK(home.begin(makeTicket(3, { 90'000 }), { 61'000 }, {}).verdict == ticket_verdict::run);
 }
