--- a/src/platform/platform_http_func.h
+++ b/src/platform/platform_http_func.h
@@ -17,7 +17,10 @@
     std::uint32_t callsPerMinute = 60; ///< Budget; a waiting watch counts as one call.
 };
 
-/** Makes a client that runs on the context's threads. Its handlers may be called on any of them. */
+/**
+ * Makes a client that runs on the context's threads. Its handlers may be called on any of them.
+ * Destroying the client closes its connections; calls that are pending then end without a call of their handlers.
+ */
 std::unique_ptr<platform_client> makePlatformHttpClient(boost::asio::io_context &context, platform_http_settings settings);
 
 } // namespace cicadamux
