--- /dev/null
+++ b/tests/support/fleet_process.cpp
@@ -0,0 +1,132 @@
+/** @file fleet_process.cpp How each process of a test fleet is started. */
+
+#include "support/fleet_process.h"
+
+#include "support/http_client_base.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <fstream>
+#include <set>
+#include <thread>
+
+namespace cicadamux::test::detail {
+
+namespace {
+constexpr const char *fleetKey = "test-fleet-key-0123456789abcdef0123456789";
+constexpr clock_ms askPeriod{ 10 };
+constexpr clock_ms askTimeout{ 500 };
+constexpr unsigned statusOk = 200;
+
+/** Lays one object over another, also inside of nested ones. */
+void layOver(boost::json::object &base, const boost::json::object &top)
+{
+    for (const auto &[key, value] : top) {
+        auto *below = base.if_contains(key);
+        if (below != nullptr && below->is_object() && value.is_object()) {
+            layOver(below->get_object(), value.get_object());
+        } else {
+            base[key] = value;
+        }
+    }
+}
+
+/** @return The peer addresses of the first host of each data centre. */
+boost::json::array seedsOf(std::span<const fleet_host> hosts)
+{
+    std::set<std::string> seen;
+    boost::json::array seeds;
+    for (const fleet_host &host : hosts) {
+        if (seen.insert(host.dataCenter).second) {
+            seeds.emplace_back(host.peer);
+        }
+    }
+    return seeds;
+}
+
+boost::json::object addressObject(const std::string &address)
+{
+    return { { "address", address } };
+}
+
+/** @return Addresses of backend servers by service. */
+std::string directAddresses(std::span<const fleet_host> hosts)
+{
+    boost::json::object byService;
+    for (const fleet_host &host : hosts) {
+        if (!byService.contains(host.service)) {
+            byService[host.service] = boost::json::array{};
+        }
+        byService[host.service].as_array().emplace_back(host.backend);
+    }
+    return boost::json::serialize(byService);
+}
+} // namespace
+
+boost::json::object makeDaemonSettings(const fleet_host &host, const fleet_options &options, std::span<const fleet_host> hosts, const std::string &platform)
+{
+    boost::json::object settings{ { "host", host.name },
+                                  { "data_center", host.dataCenter },
+                                  { "edge", addressObject(host.edge) },
+                                  { "local", addressObject(host.local) },
+                                  { "peer", addressObject(host.peer) },
+                                  { "admin", addressObject(host.admin) },
+                                  { "seeds", seedsOf(hosts) },
+                                  { "fleet_key", fleetKey },
+                                  { "platform", addressObject(platform) } };
+    if (options.mode == fleet_mode::no_admission) {
+        settings["gate"] = boost::json::object{ { "enabled", false } };
+    }
+    layOver(settings, options.settings);
+    return settings;
+}
+
+process startDaemon(const fleet_host &host, const boost::json::object &settings, const std::string &folder)
+{
+    const std::string file = folder + "/" + host.name + ".json";
+    std::ofstream(file) << boost::json::serialize(settings) << "\n";
+    return process({ programPath("cicadamux"), { "daemon", "--settings=" + file }, folder + "/" + host.name + ".daemon.log" });
+}
+
+process
+startBackend(const fleet_host &host, const fleet_service &service, const fleet_options &options, std::span<const fleet_host> hosts, const std::string &folder)
+{
+    std::vector<std::string> arguments{ "--address=" + host.backend,
+                                        "--service=" + service.name,
+                                        "--slots=" + std::to_string(service.slots),
+                                        "--connections=" + std::to_string(service.connections),
+                                        "--service_ms=" + std::to_string(service.serviceMs),
+                                        "--calls=" + service.calls,
+                                        "--retries=" + std::to_string(service.retries),
+                                        "--call_timeout_ms=" + std::to_string(service.callTimeout.count) };
+    if (options.mode == fleet_mode::direct) {
+        arguments.push_back("--direct=" + directAddresses(hosts));
+    } else {
+        arguments.push_back("--local=" + host.local);
+    }
+    arguments.insert(arguments.end(), service.arguments.begin(), service.arguments.end());
+    process started({ programPath("backend_standin"), arguments, folder + "/" + host.name + ".backend.log" });
+    started.waitForLine("ready", options.readyTimeout);
+    return started;
+}
+
+void waitUntilReady(process &subject, const std::string &address, std::string_view target, clock_ms timeout)
+{
+    const clock_ms end = steadyNow() + timeout;
+    http_message request;
+    request.method = "GET";
+    request.target = target;
+    while (true) {
+        const http_reply reply = callHttp(address, request, askTimeout);
+        if (reply.failure == http_failure::none && reply.message.status == statusOk) {
+            return;
+        }
+        if (!subject.isRunning() || steadyNow() > end) {
+            throw process_error("not ready at " + address + std::string(target) + ": " + std::string(toString(reply.failure)) + " " + reply.message.body);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(askPeriod.count));
+    }
+}
+
+} // namespace cicadamux::test::detail
