--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -13,14 +13,12 @@
 
 #include <filesystem>
 #include <iostream>
-#include <thread>
 
 namespace cicadamux::test {
 
 namespace {
 constexpr clock_ms controlTimeout{ 5'000 };
 constexpr clock_ms stopTimeout{ 40'000 };
-constexpr clock_ms viewPeriod{ 20 };
 constexpr unsigned statusOk = 200;
 
 std::string makeFolder()
@@ -319,7 +317,17 @@
     return m_state->folder;
 }
 
-/** Waits until a call to each service is answered through each daemon. */
-void test_fleet::state::waitForViews() { }
+/** Waits until each daemon sees all hosts and can route each service that has a policy. */
+void test_fleet::state::waitForViews()
+{
+    if (!hasDaemons()) {
+        return;
+    }
+    for (std::size_t index = 0; index < hosts.size(); ++index) {
+        for (const std::string &policy : options.policies) {
+            detail::waitUntilRoutes(*daemons[index], hosts[index].edge, policy, options.readyTimeout);
+        }
+    }
+}
 
 } // namespace cicadamux::test
--- a/tests/support/fleet_process.cpp
+++ b/tests/support/fleet_process.cpp
@@ -3,8 +3,10 @@
 #include "support/fleet_process.h"
 
 #include "support/http_client_base.h"
+#include "support/payload_func.h"
 
 #include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <fstream>
@@ -111,22 +113,43 @@
     return started;
 }
 
-void waitUntilReady(process &subject, const std::string &address, std::string_view target, clock_ms timeout)
+namespace {
+/** Sends a request until it is answered with status 200. */
+void askUntilOk(process &subject, const std::string &address, const http_message &request, clock_ms timeout)
 {
     const clock_ms end = steadyNow() + timeout;
-    http_message request;
-    request.method = "GET";
-    request.target = target;
     while (true) {
         const http_reply reply = callHttp(address, request, askTimeout);
         if (reply.failure == http_failure::none && reply.message.status == statusOk) {
             return;
         }
         if (!subject.isRunning() || steadyNow() > end) {
-            throw process_error("not ready at " + address + std::string(target) + ": " + std::string(toString(reply.failure)) + " " + reply.message.body);
+            throw process_error("not ready at " + address + request.target + ": " + std::string(toString(reply.failure)) + " " + reply.message.body);
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(askPeriod.count));
     }
 }
+} // namespace
+
+void waitUntilReady(process &subject, const std::string &address, std::string_view target, clock_ms timeout)
+{
+    http_message request;
+    request.method = "GET";
+    request.target = target;
+    askUntilOk(subject, address, request, timeout);
+}
+
+void waitUntilRoutes(process &daemon, const std::string &edge, const std::string &policy, clock_ms timeout)
+{
+    const auto parsed = boost::json::parse(policy);
+    const auto &operation = parsed.at("operations").at(0);
+    http_message request;
+    request.method = "POST";
+    request.target = operation.at("at_most_once").as_bool() ? "/cicadamux/ticket" : "/ready";
+    request.headers
+        = { { "cicadamux-service", std::string(parsed.at("service").as_string()) }, { "cicadamux-operation", std::string(operation.at("name").as_string()) } };
+    request.body = formatPayload("ready");
+    askUntilOk(daemon, edge, request, timeout);
+}
 
 } // namespace cicadamux::test::detail
