--- /dev/null
+++ b/tests/bench/measure_report.cpp
@@ -0,0 +1,105 @@
+/** @file measure_report.cpp What a measurement prints. */
+
+#include "bench/measure_report.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+
+namespace cicadamux::test {
+
+namespace {
+/** @return Busy and total time of all processors since the machine's start. */
+std::pair<double, double> readProcessorTimes()
+{
+    std::ifstream stream("/proc/stat");
+    std::string name;
+    stream >> name;
+    double total = 0;
+    double idle = 0;
+    constexpr int idleColumn = 3;
+    constexpr int waitColumn = 4;
+    constexpr int columns = 8;
+    for (int column = 0; column < columns; ++column) {
+        double value = 0;
+        stream >> value;
+        total += value;
+        idle += column == idleColumn || column == waitColumn ? value : 0;
+    }
+    return { total - idle, total };
+}
+} // namespace
+
+report_line &report_line::add(std::string_view key, std::string_view value)
+{
+    m_values.emplace_back(key, value);
+    return *this;
+}
+
+report_line &report_line::add(std::string_view key, const char *value)
+{
+    return add(key, std::string_view(value));
+}
+
+report_line &report_line::add(std::string_view key, double value)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", value);
+    return add(key, std::string_view(text));
+}
+
+report_line &report_line::add(std::string_view key, std::uint64_t value)
+{
+    return add(key, std::string_view(std::to_string(value)));
+}
+
+void report_line::print() const
+{
+    std::string line;
+    for (const auto &[key, value] : m_values) {
+        line += (line.empty() ? "" : " ") + key + "=" + value;
+    }
+    std::cout << line << std::endl; // NOLINT(performance-avoid-endl)
+}
+
+const std::vector<std::pair<std::string, std::string>> &report_line::values() const
+{
+    return m_values;
+}
+
+void printTable(const std::vector<report_line> &lines)
+{
+    if (lines.empty()) {
+        return;
+    }
+    std::string heading;
+    std::string rule;
+    for (const auto &[key, value] : lines.front().values()) {
+        heading += "| " + key + " ";
+        rule += "| --- ";
+    }
+    std::cout << heading << "|\n" << rule << "|\n";
+    for (const report_line &line : lines) {
+        for (const auto &[key, value] : line.values()) {
+            std::cout << "| " << value << " ";
+        }
+        std::cout << "|\n";
+    }
+    std::cout.flush();
+}
+
+cpu_meter::cpu_meter()
+    : m_start(readProcessorTimes())
+{
+}
+
+double cpu_meter::busy() const
+{
+    const auto now = readProcessorTimes();
+    const double total = now.second - m_start.second;
+    return total > 0 ? (now.first - m_start.first) / total : 0;
+}
+
+} // namespace cicadamux::test
