--- /dev/null
+++ b/tests/process/failure_test.cpp
@@ -0,0 +1,225 @@
+/** @file failure_test.cpp Kills, freezes, planned stops and outages of the platform, with real processes. */
+
+#include "support/stall_fleet_func.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace cicadamux;
+using namespace cicadamux::test;
+
+namespace {
+
+constexpr clock_ms soon{ 10'000 }; ///< Bound on waiting for an event; no test passes by it.
+
+/** Sends calls one after another until it is told to stop, and counts how they end. */
+class steady_load
+{
+public:
+    steady_load(const test_fleet &fleet, std::string operation)
+        : m_fleet(fleet)
+        , m_operation(std::move(operation))
+    {
+        for (std::size_t host = 0; host < fleet.hosts().size(); ++host) {
+            m_threads.emplace_back([this, host] { run(host); });
+        }
+    }
+
+    ~steady_load()
+    {
+        stop();
+    }
+
+    steady_load(const steady_load &) = delete;
+    steady_load &operator=(const steady_load &) = delete;
+
+    void stop()
+    {
+        m_ended = true;
+        for (std::thread &thread : m_threads) {
+            if (thread.joinable()) {
+                thread.join();
+            }
+        }
+    }
+
+    /** @return How many calls ended so. */
+    std::uint64_t count(const std::string &outcome) const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_outcomes.find(outcome);
+        return found == m_outcomes.end() ? 0 : found->second;
+    }
+
+    /** @return All outcomes with their counts. */
+    std::string summary() const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::string text;
+        for (const auto &[outcome, count] : m_outcomes) {
+            text += outcome + '=' + std::to_string(count) + ' ';
+        }
+        return text;
+    }
+
+    /** @return Calls that were begun and neither answered nor surely not run. */
+    std::uint64_t cut() const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::uint64_t sum = 0;
+        for (const auto &[outcome, count] : m_outcomes) {
+            const bool isSure = outcome == "answered" || outcome.starts_with("not-run") || outcome == "connect_failed";
+            sum += isSure ? 0 : count;
+        }
+        return sum;
+    }
+
+private:
+    void run(std::size_t host)
+    {
+        const std::string edge = m_fleet.hosts()[host].edge;
+        for (int number = 0; !m_ended; ++number) {
+            const std::string id = "load-" + std::to_string(host) + "-" + std::to_string(number);
+            const http_reply reply = callWith(edge, "pitchdesk", m_operation, id, {});
+            std::string outcome = outcomeIn(reply);
+            if (outcome == "answered" && reply.message.body.find('"' + id + '"') == std::string::npos) {
+                outcome = "wrong_answer";
+            }
+            const std::lock_guard lock(m_mutex);
+            ++m_outcomes[outcome];
+        }
+    }
+
+    const test_fleet &m_fleet;
+    std::string m_operation;
+    std::atomic<bool> m_ended{ false };
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::uint64_t> m_outcomes;
+    std::vector<std::thread> m_threads;
+};
+
+bool allAnswer(const test_fleet &fleet, std::string_view operation)
+{
+    for (const fleet_host &host : fleet.hosts()) {
+        if (outcomeIn(callWith(host.edge, "pitchdesk", operation, "probe", {})) != "answered") {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a rolling restart of every daemon under load cuts no request")
+{
+    test_fleet fleet(stallOptions());
+    steady_load load(fleet, "pay");
+    for (std::size_t host = 0; host < fleet.hosts().size(); ++host) {
+        const std::uint64_t before = load.count("answered");
+        CHECK(waitUntil([&] { return load.count("answered") > before + 20; }, soon));
+        CHECK(fleet.daemon(host).stop(soon) == 0);
+        fleet.restartDaemon(host);
+        CHECK(waitUntil([&] { return allAnswer(fleet, "pay"); }, soon));
+    }
+    load.stop();
+    CAPTURE(load.summary());
+    CHECK(load.cut() == 0);
+    CHECK(violations(fleet) == 0);
+}
+
+TEST_CASE("a backend server that leaves gets no new work, finishes what it has and ends with 0")
+{
+    test_fleet fleet(stallOptions());
+    steady_load load(fleet, "show");
+    CHECK(waitUntil([&] { return load.count("answered") > 50; }, soon));
+    CHECK(fleet.backend(0).stop(soon) == 0);
+    const std::uint64_t before = load.count("answered");
+    CHECK(waitUntil([&] { return load.count("answered") > before + 50; }, soon));
+    load.stop();
+    CAPTURE(load.summary());
+    CHECK(load.cut() == 0);
+    CHECK(load.count("not-run overloaded") == 0);
+    CHECK(violations(fleet) == 0);
+}
+
+TEST_CASE("after a daemon is killed its service goes on, and its tickets never run again")
+{
+    test_fleet fleet(stallOptions());
+    call_extras extras;
+    do { // Until the ticket's home is host 0.
+        extras.ticket = takeTicket(fleet.hosts()[0].edge, "pitchdesk", "hold");
+        REQUIRE_FALSE(extras.ticket.empty());
+        callWith(fleet.hosts()[0].edge, "pitchdesk", "hold", "once", extras);
+    } while (runsOf(fleet.hosts()[0].backend, "hold", "once") == 0);
+    const std::int64_t ranBefore = runsOf(fleet.hosts()[0].backend, "hold", "once");
+    fleet.daemon(0).kill();
+    CHECK(waitUntil([&] { return outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", "after", {})) == "answered"; }, soon));
+    fleet.restartDaemon(0);
+    CHECK(waitUntil([&] { return allAnswer(fleet, "pay"); }, soon));
+    const std::string outcome = outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "hold", "once", extras));
+    CHECK(outcome == "unknown ticket_home_gone");
+    CHECK(runsOf(fleet.hosts()[0].backend, "hold", "once") == ranBefore);
+    CHECK(violations(fleet) == 0);
+}
+
+TEST_CASE("a daemon that was frozen for longer than every time limit wakes up and runs nothing that is over")
+{
+    test_fleet fleet(stallOptions());
+    std::vector<call_extras> held(8);
+    for (call_extras &extras : held) {
+        extras.ticket = takeTicket(fleet.hosts()[3].edge, "pitchdesk", "hold");
+        extras.deadline = "500";
+    }
+    fleet.daemon(0).pause();
+    std::vector<std::string> outcomes;
+    for (std::size_t number = 0; number < held.size(); ++number) {
+        outcomes.push_back(outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "hold", "frozen-" + std::to_string(number), held[number])));
+    }
+    CHECK(waitUntil([&] { return metricAt(fleet.hosts()[3].admin, "members") == 3; }, { 30'000 }));
+    fleet.daemon(0).resume();
+    CHECK(waitUntil([&] { return allAnswer(fleet, "pay"); }, soon));
+    for (std::size_t number = 0; number < held.size(); ++number) {
+        CAPTURE(outcomes[number]);
+        const std::string id = "frozen-" + std::to_string(number);
+        const std::int64_t runs = runsOf(fleet.hosts()[0].backend, "hold", id) + runsOf(fleet.hosts()[1].backend, "hold", id);
+        const bool wasAnswered = outcomes[number] == "answered";
+        CHECK(runs == (wasAnswered ? 1 : 0));
+    }
+    CHECK(violations(fleet) == 0);
+}
+
+TEST_CASE("with the platform down calls go on, and a new daemon learns the policy from its peers")
+{
+    test_fleet fleet(stallOptions());
+    fleet.control(fleet.platformAddress(), { { "fault", "down" }, { "for_ms", 60'000 } });
+    CHECK(allAnswer(fleet, "pay"));
+    CHECK(fleet.daemon(1).stop(soon) == 0);
+    fleet.restartDaemon(1);
+    CHECK(waitUntil([&] { return allAnswer(fleet, "pay"); }, soon));
+    CHECK(violations(fleet) == 0);
+}
+
+TEST_CASE("a change is in force in both data centres and a restored store doesn't take it back")
+{
+    test_fleet fleet(stallOptions());
+    fleet.putObject("service_policy", "pitchdesk", R"({"generation":2,"operation_id":"two","service":"pitchdesk","operations":[
+        {"name":"pay","class":"fee-payment","rank":"urgent","passes_through":["feebox"],"deadline_ms":2000,"deadline_kind":"strict","retries":2,"at_most_once":false}]})");
+    const auto showIsGone = [&fleet] {
+        for (const fleet_host &host : fleet.hosts()) {
+            if (outcomeIn(callWith(host.edge, "pitchdesk", "show", "id", {})) != "not-run no_policy") {
+                return false;
+            }
+        }
+        return true;
+    };
+    CHECK(waitUntil(showIsGone, soon));
+    fleet.putObject("service_policy", "pitchdesk", R"({"generation":1,"operation_id":"restored","service":"pitchdesk","operations":[
+        {"name":"show","class":"browse","rank":"browse","passes_through":[],"deadline_ms":2000,"deadline_kind":"strict","retries":0,"at_most_once":false}]})");
+    CHECK(waitUntil([&] { return metricSum(fleet, "stale_offers") > 0; }, soon));
+    CHECK(showIsGone());
+    CHECK(violations(fleet) == 0);
+}
--- /dev/null
+++ b/tests/process/path_test.cpp
@@ -0,0 +1,129 @@
+/** @file path_test.cpp The whole path through real processes, and backend servers that answer wrongly. */
+
+#include "support/http_client_base.h"
+#include "support/raw_socket_base.h"
+#include "support/stall_fleet_func.h"
+
+#include <doctest/doctest.h>
+
+using namespace cicadamux;
+using namespace cicadamux::test;
+
+TEST_CASE("a request passes through two daemons and a chain of two services")
+{
+    test_fleet fleet(stallOptions());
+    const std::string &edge = fleet.hosts()[3].edge; // Beside a feebox: pitchdesk is on other hosts.
+    const http_reply reply = callWith(edge, "pitchdesk", "pay", "id-1", {});
+    CHECK(outcomeIn(reply) == "answered");
+    CHECK(reply.message.body.find("\"id\":\"id-1\"") != std::string::npos);
+    CHECK(runsOf(fleet.hosts()[2].backend, "charge", "id-1/0") + runsOf(fleet.hosts()[3].backend, "charge", "id-1/0") == 1);
+    CHECK(violations(fleet) == 0);
+    CHECK(fleet.stop().empty());
+}
+
+TEST_CASE("a caller can't state a rank, a context or a retry allowance")
+{
+    test_fleet fleet(stallOptions());
+    const std::string &edge = fleet.hosts()[0].edge;
+    call_extras forged;
+    forged.context = "0123456789abcdef";
+    CHECK(outcomeIn(callWith(edge, "pitchdesk", "pay", "id-1", forged)) == "answered");
+    CHECK(outcomeIn(callWith(fleet.hosts()[0].local, "pitchdesk", "pay", "id-2", forged)) == "not-run parent_gone");
+    call_extras badContext;
+    badContext.context = "not a context";
+    CHECK(outcomeIn(callWith(fleet.hosts()[0].local, "pitchdesk", "pay", "id-3", badContext)) == "not-run bad_request");
+    call_extras badDeadline;
+    badDeadline.deadline = "-5";
+    CHECK(outcomeIn(callWith(edge, "pitchdesk", "pay", "id-4", badDeadline)) == "not-run bad_request");
+    CHECK(outcomeIn(callWith(edge, "pitchdesk", "no-such", "id-5", {})) == "not-run no_policy");
+    CHECK(outcomeIn(callWith(edge, "no-such", "hold", "id-6", {})) == "not-run no_policy");
+    CHECK(runsOf(fleet.hosts()[2].backend, "charge", "id-2/0") == 0);
+}
+
+TEST_CASE("an at-most-once operation runs once under its ticket, whatever is repeated")
+{
+    test_fleet fleet(stallOptions());
+    const std::string &edge = fleet.hosts()[3].edge;
+    CHECK(outcomeIn(callWith(edge, "pitchdesk", "hold", "id-1", {})) == "not-run ticket_required");
+    call_extras extras;
+    extras.ticket = takeTicket(edge, "pitchdesk", "hold");
+    REQUIRE_FALSE(extras.ticket.empty());
+    const http_reply first = callWith(edge, "pitchdesk", "hold", "id-1", extras);
+    const http_reply second = callWith(fleet.hosts()[2].edge, "pitchdesk", "hold", "id-1", extras);
+    CHECK(outcomeIn(first) == "answered");
+    CHECK(outcomeIn(second) == "answered");
+    CHECK(first.message.body == second.message.body);
+    CHECK(runsOf(fleet.hosts()[0].backend, "hold", "id-1") + runsOf(fleet.hosts()[1].backend, "hold", "id-1") == 1);
+    extras.ticket[extras.ticket.size() / 2] ^= 1;
+    CHECK(outcomeIn(callWith(edge, "pitchdesk", "hold", "id-2", extras)) == "not-run ticket_invalid");
+}
+
+TEST_CASE("answers that are half, doubled, late, missing or of the wrong length never reach a caller as answers")
+{
+    test_fleet fleet(stallOptions());
+    const std::string &edge = fleet.hosts()[3].edge;
+    const auto faultAll = [&fleet](const char *fault) {
+        for (const std::size_t host : { 0U, 1U }) {
+            fleet.control(fleet.hosts()[host].backend, { { "fault", "clear" } });
+            fleet.control(fleet.hosts()[host].backend, { { "fault", fault }, { "delay_ms", 900 } });
+        }
+    };
+    call_extras quick;
+    quick.deadline = "300";
+    struct expectation {
+        const char *fault;
+        std::string outcome;
+    };
+    const std::vector<expectation> expectations = {
+        { "half_answer", "unknown answer_broken" },
+        { "wrong_length", "unknown answer_broken" },
+        { "no_answer", "unknown connection_lost" },
+        { "late_answer", "unknown answer_timeout" },
+    };
+    int number = 0;
+    for (const expectation &expected : expectations) {
+        CAPTURE(expected.fault);
+        faultAll(expected.fault);
+        CHECK(outcomeIn(callWith(edge, "pitchdesk", "show", "bad-" + std::to_string(++number), quick)) == expected.outcome);
+    }
+    faultAll("double_answer");
+    for (int round = 0; round < 20; ++round) {
+        const std::string id = "double-" + std::to_string(round);
+        const http_reply reply = callWith(edge, "pitchdesk", "show", id, {});
+        CHECK(outcomeIn(reply) == "answered");
+        CHECK(reply.message.body.find('"' + id + '"') != std::string::npos);
+    }
+    CHECK(violations(fleet) == 0);
+}
+
+TEST_CASE("shed work is refused as not run, and protected work is tried at another upstream first")
+{
+    test_fleet fleet(stallOptions());
+    fleet.control(fleet.hosts()[0].backend, { { "fault", "shed" } });
+    for (int round = 0; round < 10; ++round) {
+        CHECK(outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", "id-" + std::to_string(round), {})) == "answered");
+    }
+    fleet.control(fleet.hosts()[1].backend, { { "fault", "shed" } });
+    CHECK(outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", "id-x", {})) == "not-run shed");
+}
+
+TEST_CASE("garbage on any listener ends in a typed answer or a closed connection, and the daemon keeps serving")
+{
+    test_fleet fleet(stallOptions());
+    const fleet_host host = fleet.hosts()[0];
+    for (const std::string &address : { host.edge, host.local, host.admin }) {
+        raw_socket socket(address);
+        socket.send("NONSENSE\r\n\r\n");
+        CHECK(socket.receiveAll().find("bad_request") != std::string::npos);
+    }
+    raw_socket peer(host.peer);
+    peer.send("NONSENSE\r\n\r\n");
+    peer.finishSending();
+    peer.receiveAll();
+    http_message announcement;
+    announcement.method = "POST";
+    announcement.target = "/cicadamux/announce";
+    announcement.body = R"({"service":"Pitch Desk","address":"x"})";
+    CHECK(callHttp(host.local, announcement, { 2'000 }).message.status == 400);
+    CHECK(outcomeIn(callWith(host.edge, "pitchdesk", "pay", "id-1", {})) == "answered");
+}
