--- a/tests/bench/measure_deployment.cpp
+++ b/tests/bench/measure_deployment.cpp
@@ -13,7 +13,8 @@
 namespace cicadamux::test {
 
 namespace {
-constexpr double serviceMs = 25; ///< Mean own work of one call.
+constexpr double serviceMs = 50; ///< Mean own work of one call; long, so that slots and not processors are short.
+constexpr double slowServiceMs = 150; ///< The same of agenda-taller, which otherwise would take most of the load.
 constexpr std::uint32_t layerRetries = 2; ///< Further attempts of each backend server's own calls.
 constexpr std::uint32_t clientRetries = 2;
 
@@ -70,6 +71,12 @@
     return request;
 }
 
+deployment_request makeDeep(deployment_request request)
+{
+    request.isDeep = true;
+    return request;
+}
+
 deployment_request makeLeast(const std::string &service, const std::string &operation, const std::string &label, double perSecond)
 {
     constexpr std::int64_t deadline = 1'000;
@@ -90,12 +97,13 @@
                             makeService("pitchdesk", 3, 50, 400, scale, R"({"hold":[["feebox","fee-table"]],"availability":[["feebox","fee-table"]]})"),
                             makeService("stallfind", 3, 15, 180, scale, "{}"),
                             makeService("feebox", 3, 50, 400, scale, "{}") };
-    // Requests a second at full size. The slots of mapview and stallfind are busy first: 160 / 0.1 s and 45 / 0.025 s.
+    // Requests a second at full size, nine tenths of what the slots allow. A slot is held while its own calls wait:
+    // browse 206 ms on 160 slots, hold and availability 102 ms on 150, search 50 ms on 45, fee table and pay 50 ms on 150.
     constexpr std::int64_t searchDeadline = 1'000;
-    made.requests = { makeProtected("pitchdesk", "hold", "pitch-hold", 800 * scale, true),
-                      makeProtected("feebox", "pay", "fee-payment", 500 * scale, true),
-                      makeRequest("stallfind", "search", "stall-search", 500 * scale, searchDeadline),
-                      makeLeast("mapview", "browse", "map-browsing", 1'200 * scale) };
+    made.requests = { makeDeep(makeProtected("pitchdesk", "hold", "pitch-hold", 620 * scale, true)),
+                      makeProtected("feebox", "pay", "fee-payment", 1'380 * scale, true),
+                      makeRequest("stallfind", "search", "stall-search", 110 * scale, searchDeadline),
+                      makeDeep(makeLeast("mapview", "browse", "map-browsing", 700 * scale)) };
     return made;
 }
 
@@ -110,16 +118,31 @@
                             makeService("reclamos", 3, 20, 230, scale, R"({"warranty":[["archivo-tol","tolerance"]]})"),
                             makeService("agenda-taller", 3, 70, 530, scale, "{}"),
                             makeService("archivo-tol", 5, 40, 350, scale, "{}") };
-    // Requests a second at full size. The slots of reclamos and compras are busy first: 60 / 0.05 s and 200 / 0.05 s.
+    made.fleet.services[2].serviceMs = slowServiceMs;
+    // Requests a second at full size, nine tenths of what the slots allow. A slot is held while its own calls wait:
+    // warranty 102 ms on 60 slots, order and catalogue 102 ms on 200, reserve 150 ms on 210, tolerance 50 ms on 200.
     constexpr std::int64_t toleranceDeadline = 5'000;
-    made.requests = { makeProtected("reclamos", "warranty", "warranty-check", 900 * scale, false),
-                      makeProtected("compras", "order", "prism-order", 1'200 * scale, true),
-                      makeProtected("agenda-taller", "reserve", "bench-reservation", 1'500 * scale, true),
-                      makeRequest("archivo-tol", "tolerance", "tolerance-lookup", 1'200 * scale, toleranceDeadline),
-                      makeLeast("compras", "catalogue", "catalogue", 2'400 * scale) };
+    made.requests = { makeDeep(makeProtected("reclamos", "warranty", "warranty-check", 530 * scale, false)),
+                      makeDeep(makeProtected("compras", "order", "prism-order", 600 * scale, true)),
+                      makeProtected("agenda-taller", "reserve", "bench-reservation", 1'260 * scale, true),
+                      makeRequest("archivo-tol", "tolerance", "tolerance-lookup", 1'290 * scale, toleranceDeadline),
+                      makeDeep(makeLeast("compras", "catalogue", "catalogue", 1'160 * scale)) };
     return made;
 }
 
+namespace {
+/** @param through Names of the deeper layers, as the elements of a JSON list. */
+std::string makeChainPolicy(const std::string &service, const std::string &through)
+{
+    std::string policy = R"({"generation":1,"operation_id":"chain","service":")";
+    policy += service;
+    policy += R"(","operations":[{"name":"work","class":"work","rank":"urgent","passes_through":[)";
+    policy += through;
+    policy += R"(],"deadline_ms":5000,"deadline_kind":"strict","retries":3,"at_most_once":false}]})";
+    return policy;
+}
+} // namespace
+
 deployment makeChain(std::size_t depth, std::uint32_t slots)
 {
     deployment made;
@@ -131,16 +154,16 @@
         const std::string name = "layer-" + std::to_string(layer);
         std::string through;
         for (std::size_t deeper = layer + 1; deeper <= depth; ++deeper) {
-            through += (through.empty() ? "\"layer-" : ",\"layer-") + std::to_string(deeper) + "\"";
+            through += through.empty() ? "\"layer-" : ",\"layer-";
+            through += std::to_string(deeper);
+            through += "\"";
         }
         const std::string calls = layer == depth ? "{}" : R"({"work":[["layer-)" + std::to_string(layer + 1) + R"(","work"]]})";
         fleet_service service = makeService(name, 1, slots, 400, 1, calls);
         service.serviceMs = chainServiceMs;
         service.callTimeout = { 5'000 };
         made.fleet.services.push_back(service);
-        made.fleet.policies.push_back(R"({"generation":1,"operation_id":"chain","service":")" + name
-                                      + R"(","operations":[{"name":"work","class":"work","rank":"urgent","passes_through":[)" + through
-                                      + R"(],"deadline_ms":5000,"deadline_kind":"strict","retries":3,"at_most_once":false}]})");
+        made.fleet.policies.push_back(makeChainPolicy(name, through));
     }
     constexpr double perSecond = 4;
     constexpr std::int64_t deadline = 5'000;
@@ -150,6 +173,11 @@
     return made;
 }
 
+void keepDeepRequests(deployment &subject)
+{
+    std::erase_if(subject.requests, [](const deployment_request &request) { return !request.isDeep; });
+}
+
 std::vector<load_operation> mixOf(const deployment &subject, double factor)
 {
     std::vector<load_operation> mix;
--- a/tests/bench/measure_deployment.h
+++ b/tests/bench/measure_deployment.h
@@ -15,6 +15,7 @@
     load_operation operation; ///< Its rate at the capacity of the whole deployment.
     bool isProtected = false;
     bool isLeast = false; ///< Of the least urgent rank.
+    bool isDeep = false; ///< Passes through other services.
 };
 
 /** A deployment: its services, its policies, and the mix that just uses its capacity. */
@@ -36,4 +37,7 @@
 /** @return The mix, each rate multiplied. */
 std::vector<load_operation> mixOf(const deployment &subject, double factor);
 
+/** Leaves only the requests that pass through other services. */
+void keepDeepRequests(deployment &subject);
+
 } // namespace cicadamux::test
--- a/tests/bench/measure_main.cpp
+++ b/tests/bench/measure_main.cpp
@@ -10,7 +10,7 @@
 #include <exception>
 #include <iostream>
 
-ABSL_FLAG(double, scale, 0.2, "slots of the run over the deployment's own");
+ABSL_FLAG(double, scale, 0.1, "slots of the run over the deployment's own");
 ABSL_FLAG(std::string, examples, "examples", "folder with the policies of both deployments");
 ABSL_FLAG(std::vector<std::string>, deployments, std::vector<std::string>({ "stallgrid", "guild" }), "deployments to run");
 ABSL_FLAG(std::vector<std::string>, modes, std::vector<std::string>({ "full", "no-admission", "direct" }), "the product and its baselines");
--- a/tests/bench/measure_overload.cpp
+++ b/tests/bench/measure_overload.cpp
@@ -25,12 +25,14 @@
 {
     deployment made = makeDeployment(name, options);
     made.fleet.mode = parseMode(mode);
+    keepDeepRequests(made);
     test_fleet fleet(made.fleet);
     const cpu_meter meter;
+    const clock_ms surge = options.phase + options.phase;
     runLoad(fleet, made, made.fleet.mode, warmFactor, options.phase);
     const load_result atCapacity = runLoad(fleet, made, made.fleet.mode, 1, options.phase);
-    const load_result twice = runLoad(fleet, made, made.fleet.mode, 2, options.phase);
-    const load_result five = runLoad(fleet, made, made.fleet.mode, 5, options.phase);
+    const load_result twice = runLoad(fleet, made, made.fleet.mode, 2, surge);
+    const load_result five = runLoad(fleet, made, made.fleet.mode, 5, surge);
     report_line line;
     line.add("scenario", "surge").add("deployment", name).add("scale", options.scale).add("mode", mode);
     line.add("goodput_1x", goodput(atCapacity)).add("goodput_2x", goodput(twice)).add("goodput_5x", goodput(five));
--- a/tests/bench/measure_report.cpp
+++ b/tests/bench/measure_report.cpp
@@ -59,7 +59,10 @@
 {
     std::string line;
     for (const auto &[key, value] : m_values) {
-        line += (line.empty() ? "" : " ") + key + "=" + value;
+        line += line.empty() ? "" : " ";
+        line += key;
+        line += "=";
+        line += value;
     }
     std::cout << line << std::endl; // NOLINT(performance-avoid-endl)
 }
@@ -77,7 +80,9 @@
     std::string heading;
     std::string rule;
     for (const auto &[key, value] : lines.front().values()) {
-        heading += "| " + key + " ";
+        heading += "| ";
+        heading += key;
+        heading += " ";
         rule += "| --- ";
     }
     std::cout << heading << "|\n" << rule << "|\n";
--- a/tests/bench/measure_scenario.h
+++ b/tests/bench/measure_scenario.h
@@ -14,7 +14,7 @@
 namespace cicadamux::test {
 
 struct measure_options {
-    double scale = 0.2; ///< Slots of a run over the deployment's own.
+    double scale = 0.1; ///< Slots of a run over the deployment's own.
     std::string examples; ///< Folder with the policies.
     std::vector<std::string> deployments; ///< `stallgrid`, `guild`.
     std::vector<std::string> modes; ///< `full`, `no-admission`, `direct`.
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -11,6 +11,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <iostream>
 
@@ -63,6 +64,7 @@
     }
 
     const fleet_service &serviceOf(const fleet_host &host) const;
+    bool hasServiceOf(const std::string &policy) const;
     void makeHosts();
     void startPlatform();
     void startDaemons();
@@ -89,6 +91,14 @@
     throw process_error("no service of host " + host.name);
 }
 
+/** Tells whether a policy's service has a backend server here. */
+bool test_fleet::state::hasServiceOf(const std::string &policy) const
+{
+    const auto parsed = boost::json::parse(policy);
+    const auto &name = parsed.at("service").as_string();
+    return std::any_of(options.services.begin(), options.services.end(), [&](const fleet_service &service) { return name == service.name; });
+}
+
 void test_fleet::state::makeHosts()
 {
     for (const fleet_service &service : options.services) {
@@ -325,6 +335,9 @@
     }
     for (std::size_t index = 0; index < hosts.size(); ++index) {
         for (const std::string &policy : options.policies) {
+            if (!hasServiceOf(policy)) {
+                continue;
+            }
             detail::waitUntilRoutes(*daemons[index], hosts[index].edge, policy, options.readyTimeout);
         }
     }
--- a/tests/support/fleet_process.cpp
+++ b/tests/support/fleet_process.cpp
@@ -114,11 +114,13 @@
 }
 
 namespace {
-/** Sends a request until it is answered with status 200. */
-void askUntilOk(process &subject, const std::string &address, const http_message &request, clock_ms timeout)
+/** Sends a request until it is answered with status 200; each time with another id, so that it isn't a retry. */
+void askUntilOk(process &subject, const std::string &address, http_message request, clock_ms timeout)
 {
     const clock_ms end = steadyNow() + timeout;
+    std::uint64_t asked = 0;
     while (true) {
+        request.body = formatPayload("ready-" + address + "-" + std::to_string(++asked));
         const http_reply reply = callHttp(address, request, askTimeout);
         if (reply.failure == http_failure::none && reply.message.status == statusOk) {
             return;
@@ -148,7 +150,6 @@
     request.target = operation.at("at_most_once").as_bool() ? "/cicadamux/ticket" : "/ready";
     request.headers
         = { { "cicadamux-service", std::string(parsed.at("service").as_string()) }, { "cicadamux-operation", std::string(operation.at("name").as_string()) } };
-    request.body = formatPayload("ready");
     askUntilOk(daemon, edge, request, timeout);
 }
 
