--- a/tests/bench/measure_fault.cpp
+++ b/tests/bench/measure_fault.cpp
@@ -112,7 +112,8 @@
     line.add("scenario", "late-answers").add("deployment", name).add("scale", options.scale).add("mode", mode).add("calls", total.tried);
     line.add("wrong_answers", total.wrongAnswers + sumCounter(fleet, "wrong_answers")).add("duplicates", truth.duplicates);
     line.add("not_run_but_ran", truth.notRunButRan).add("good", total.good).add("failed", total.failed).add("not_run", total.notRun);
-    line.add("unknown", total.unknown).add("late", total.late).add("cpu_busy", meter.busy());
+    line.add("unknown", total.unknown).add("late", total.late).add("reasons", formatReasons(total.reasons));
+    line.add("cpu_busy", meter.busy());
     return line;
 }
 } // namespace
--- a/tests/bench/measure_flood.cpp
+++ b/tests/bench/measure_flood.cpp
@@ -48,6 +48,7 @@
     }
     line.add("protected_served_ratio", servedRatio(urgent)).add("protected_tried", urgent.tried).add("protected_not_run", urgent.notRun);
     line.add("refused_before_lesser", sumGauge(fleet, "violations_rank_order"));
+    line.add("protected_reasons", formatReasons(urgent.reasons));
     for (const deployment_request &request : made.requests) {
         const std::string &label = request.operation.label;
         const bool isFlood = floods(request, isHigh);
--- a/tests/bench/measure_report.cpp
+++ b/tests/bench/measure_report.cpp
@@ -72,6 +72,25 @@
     return m_values;
 }
 
+std::string formatReasons(const std::map<std::string, std::uint64_t> &reasons)
+{
+    constexpr std::size_t mostShown = 4;
+    std::vector<std::pair<std::uint64_t, std::string>> sorted;
+    for (const auto &[reason, count] : reasons) {
+        sorted.emplace_back(count, reason);
+    }
+    std::sort(sorted.rbegin(), sorted.rend());
+    sorted.resize(std::min(sorted.size(), mostShown));
+    std::string text;
+    for (const auto &[count, reason] : sorted) {
+        text += text.empty() ? "" : ",";
+        text += reason;
+        text += ":";
+        text += std::to_string(count);
+    }
+    return text.empty() ? "none" : text;
+}
+
 void printTable(const std::vector<report_line> &lines)
 {
     if (lines.empty()) {
--- a/tests/bench/measure_report.h
+++ b/tests/bench/measure_report.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,6 +29,9 @@
     std::vector<std::pair<std::string, std::string>> m_values;
 };
 
+/** @return The most frequent reasons with their numbers, such as `overloaded:12,shed:3`; `none` if there are none. */
+std::string formatReasons(const std::map<std::string, std::uint64_t> &reasons);
+
 /** Prints lines with the same keys as a table with a heading. */
 void printTable(const std::vector<report_line> &lines);
 
