--- a/tests/bench/measure_report.cpp
+++ b/tests/bench/measure_report.cpp
@@ -76,6 +76,7 @@
 {
     constexpr std::size_t mostShown = 4;
     std::vector<std::pair<std::uint64_t, std::string>> sorted;
+    sorted.reserve(reasons.size());
     for (const auto &[reason, count] : reasons) {
         sorted.emplace_back(count, reason);
     }
