--- a/tests/bench/measure_report.cpp
+++ b/tests/bench/measure_report.cpp
@@ -59,7 +59,10 @@
 {
     std::string line;
     for (const auto &[key, value] : m_values) {
-        line += (line.empty() ? "" : " ") + key + "=" + value;
+        line += line.empty() ? "" : " ";
+        line += key;
+        line += "=";
+        line += value;
     }
     std::cout << line << std::endl; // NOLINT(performance-avoid-endl)
 }
@@ -69,6 +72,26 @@
     return m_values;
 }
 
+std::string formatReasons(const std::map<std::string, std::uint64_t> &reasons)
+{
+    constexpr std::size_t mostShown = 4;
+    std::vector<std::pair<std::uint64_t, std::string>> sorted;
+    sorted.reserve(reasons.size());
+    for (const auto &[reason, count] : reasons) {
+        sorted.emplace_back(count, reason);
+    }
+    std::sort(sorted.rbegin(), sorted.rend());
+    sorted.resize(std::min(sorted.size(), mostShown));
+    std::string text;
+    for (const auto &[count, reason] : sorted) {
+        text += text.empty() ? "" : ",";
+        text += reason;
+        text += ":";
+        text += std::to_string(count);
+    }
+    return text.empty() ? "none" : text;
+}
+
 void printTable(const std::vector<report_line> &lines)
 {
     if (lines.empty()) {
@@ -77,7 +100,9 @@
     std::string heading;
     std::string rule;
     for (const auto &[key, value] : lines.front().values()) {
-        heading += "| " + key + " ";
+        heading += "| ";
+        heading += key;
+        heading += " ";
         rule += "| --- ";
     }
     std::cout << heading << "|\n" << rule << "|\n";
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -11,16 +11,15 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <iostream>
-#include <thread>
 
 namespace cicadamux::test {
 
 namespace {
 constexpr clock_ms controlTimeout{ 5'000 };
 constexpr clock_ms stopTimeout{ 40'000 };
-constexpr clock_ms viewPeriod{ 20 };
 constexpr unsigned statusOk = 200;
 
 std::string makeFolder()
@@ -65,6 +64,7 @@
     }
 
     const fleet_service &serviceOf(const fleet_host &host) const;
+    bool hasServiceOf(const std::string &policy) const;
     void makeHosts();
     void startPlatform();
     void startDaemons();
@@ -91,6 +91,14 @@
     throw process_error("no service of host " + host.name);
 }
 
+/** Tells whether a policy's service has a backend server here. */
+bool test_fleet::state::hasServiceOf(const std::string &policy) const
+{
+    const auto parsed = boost::json::parse(policy);
+    const auto &name = parsed.at("service").as_string();
+    return std::any_of(options.services.begin(), options.services.end(), [&](const fleet_service &service) { return name == service.name; });
+}
+
 void test_fleet::state::makeHosts()
 {
     for (const fleet_service &service : options.services) {
@@ -319,7 +327,20 @@
     return m_state->folder;
 }
 
-/** Waits until a call to each service is answered through each daemon. */
-void test_fleet::state::waitForViews() { }
+/** Waits until each daemon sees all hosts and can route each service that has a policy. */
+void test_fleet::state::waitForViews()
+{
+    if (!hasDaemons()) {
+        return;
+    }
+    for (std::size_t index = 0; index < hosts.size(); ++index) {
+        for (const std::string &policy : options.policies) {
+            if (!hasServiceOf(policy)) {
+                continue;
+            }
+            detail::waitUntilRoutes(*daemons[index], hosts[index].edge, policy, options.readyTimeout);
+        }
+    }
+}
 
 } // namespace cicadamux::test
