--- a/src/operator/command_line_func.h
+++ b/src/operator/command_line_func.h
@@ -3,6 +3,9 @@
 #pragma once
 
 #include "core/error_type.h"
+#include "settings/settings_type.h"
+
+#include <functional>
 
 namespace cicadamux {
 
@@ -13,10 +16,13 @@
     using error::error;
 };
 
+/** Runs a daemon until it is told to stop, and returns the exit code. */
+using daemon_runner = std::function<int(const daemon_settings &settings)>;
+
 /**
- * Runs the subcommand that the command line names.
+ * Runs the subcommand that the command line names; `runDaemon` is what `daemon` runs.
  * @return The exit code, a query_status.
  */
-int runCommandLine(int argc, char **argv);
+int runCommandLine(int argc, char **argv, daemon_runner runDaemon);
 
 } // namespace cicadamux
--- /dev/null
+++ b/src/operator/policy_edit.cpp
@@ -0,0 +1,212 @@
+/** @file policy_edit.cpp Edits of policy objects. */
+
+#include "operator/policy_edit_func.h"
+
+#include "policy/policy_func.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace cicadamux::detail {
+
+namespace {
+namespace json = boost::json;
+
+using flat_values = std::map<std::string, std::string>;
+
+/** @return How an element of a list is named in paths: by its `name`, or by its index. */
+std::string elementName(const json::value &element, std::size_t index)
+{
+    if (element.is_object()) {
+        if (const json::value *name = element.get_object().if_contains("name"); name != nullptr && name->is_string()) {
+            return std::string(name->get_string());
+        }
+    }
+    return std::to_string(index);
+}
+
+bool holdsObjects(const json::array &list)
+{
+    return std::ranges::any_of(list, [](const json::value &element) { return element.is_object(); });
+}
+
+/** Collects the values of a document by path; lists of plain values count as one value. */
+void flatten(const json::value &value, const std::string &path, flat_values &into)
+{
+    if (value.is_object()) {
+        for (const auto &pair : value.get_object()) {
+            flatten(pair.value(), (path.empty() ? "" : path + '.') + std::string(pair.key()), into);
+        }
+    } else if (value.is_array() && holdsObjects(value.get_array())) {
+        std::string order;
+        for (std::size_t index = 0; index < value.get_array().size(); ++index) {
+            const std::string name = elementName(value.get_array()[index], index);
+            order += (order.empty() ? "" : ",") + name;
+            flatten(value.get_array()[index], path + '[' + name + ']', into);
+        }
+        into[path] = order;
+    } else {
+        into[path] = json::serialize(value);
+    }
+}
+
+flat_values flattenText(std::string_view text)
+{
+    flat_values values;
+    if (!text.empty()) {
+        flatten(json::parse(json::string_view(text.data(), text.size())), "", values);
+    }
+    values.erase("generation");
+    values.erase("operation_id");
+    return values;
+}
+
+void editRank(const rank_edit &edit, rank_table &table)
+{
+    const auto rank = std::ranges::find(table.ranks, edit.rank, &rank_rule::name);
+    if (rank == table.ranks.end()) {
+        throw edit_target_error("no rank is named " + edit.rank);
+    }
+    rank->effort = edit.effort.value_or(rank->effort);
+    rank->isProtected = edit.isProtected.value_or(rank->isProtected);
+}
+
+void editOperation(const operation_edit &edit, service_policy &policy)
+{
+    const auto rule = std::ranges::find(policy.operations, edit.operation, &operation_rule::name);
+    if (rule == policy.operations.end()) {
+        throw edit_target_error("no policy names the operation " + edit.service + '/' + edit.operation);
+    }
+    rule->rankName = edit.rankName.value_or(rule->rankName);
+    rule->callClass = edit.callClass.value_or(rule->callClass);
+    rule->deadline = edit.deadline.value_or(rule->deadline);
+    rule->lateOk = edit.lateOk.value_or(rule->lateOk);
+    rule->lateLimit = edit.lateLimit.value_or(rule->lateLimit);
+    rule->retries = edit.retries.value_or(rule->retries);
+    rule->atMostOnce = edit.atMostOnce.value_or(rule->atMostOnce);
+    rule->passesThrough = edit.passesThrough.value_or(rule->passesThrough);
+}
+
+policy_object parseEdit(const object_edit &edit)
+{
+    return edit.isRankTable ? policy_object(parseRankTable(edit.json)) : policy_object(parseServicePolicy(edit.json));
+}
+} // namespace
+
+edited_object targetOf(const change_command &wanted)
+{
+    if (std::holds_alternative<rank_edit>(wanted.edit)) {
+        return { std::string(rankTableKind), std::string(rankTableName) };
+    }
+    if (const auto *operation = std::get_if<operation_edit>(&wanted.edit)) {
+        return { std::string(servicePolicyKind), operation->service };
+    }
+    const policy_object parsed = parseEdit(std::get<object_edit>(wanted.edit));
+    if (const auto *policy = std::get_if<service_policy>(&parsed)) {
+        return { std::string(servicePolicyKind), policy->service };
+    }
+    return { std::string(rankTableKind), std::string(rankTableName) };
+}
+
+policy_object parseObject(std::string_view kind, std::string_view text)
+{
+    return kind == rankTableKind ? policy_object(parseRankTable(text)) : policy_object(parseServicePolicy(text));
+}
+
+std::string formatObject(const policy_object &object)
+{
+    const auto *table = std::get_if<rank_table>(&object);
+    return table != nullptr ? formatRankTable(*table) : formatServicePolicy(std::get<service_policy>(object));
+}
+
+std::uint64_t generationOf(const policy_object &object)
+{
+    return std::visit([](const auto &held) { return held.generation; }, object);
+}
+
+const std::string &operationIdOf(const policy_object &object)
+{
+    return std::visit([](const auto &held) -> const std::string & { return held.operationId; }, object);
+}
+
+void nameWrite(policy_object &object, std::uint64_t generation, std::string operationId)
+{
+    std::visit(
+        [&](auto &held) {
+            held.generation = generation;
+            held.operationId = std::move(operationId);
+        },
+        object);
+}
+
+policy_object objectInForce(const policy_set &set, const edited_object &target)
+{
+    if (target.kind == rankTableKind) {
+        return set.rankTable();
+    }
+    const auto found = set.services().find(target.name);
+    if (found != set.services().end()) {
+        return found->second;
+    }
+    service_policy absent;
+    absent.service = target.name;
+    return absent;
+}
+
+policy_object applyEdit(const change_command &wanted, const policy_object &base)
+{
+    policy_object edited = base;
+    if (const auto *rank = std::get_if<rank_edit>(&wanted.edit)) {
+        editRank(*rank, std::get<rank_table>(edited));
+    } else if (const auto *operation = std::get_if<operation_edit>(&wanted.edit)) {
+        editOperation(*operation, std::get<service_policy>(edited));
+    } else {
+        edited = parseEdit(std::get<object_edit>(wanted.edit));
+    }
+    return edited;
+}
+
+std::vector<change_fault> checkObject(const policy_object &object, const policy_set &set)
+{
+    try {
+        if (const auto *table = std::get_if<rank_table>(&object)) {
+            return toChangeFaults(checkPolicySet(*set.withRankTable(parseRankTable(formatRankTable(*table)))));
+        }
+        return toChangeFaults(checkPolicySet(*set.withService(parseServicePolicy(formatServicePolicy(std::get<service_policy>(object))))));
+    } catch (const policy_error &refused) {
+        return toChangeFaults(refused.faults());
+    }
+}
+
+std::vector<value_difference> compareObjects(std::string_view before, std::string_view after)
+{
+    const flat_values old = flattenText(before);
+    const flat_values fresh = flattenText(after);
+    std::vector<value_difference> differences;
+    for (const auto &[path, value] : old) {
+        const auto found = fresh.find(path);
+        if (found == fresh.end() || found->second != value) {
+            differences.push_back({ path, value, found == fresh.end() ? "" : found->second });
+        }
+    }
+    for (const auto &[path, value] : fresh) {
+        if (!old.contains(path)) {
+            differences.push_back({ path, "", value });
+        }
+    }
+    return differences;
+}
+
+std::vector<change_fault> toChangeFaults(std::span<const policy_fault> faults)
+{
+    std::vector<change_fault> made;
+    made.reserve(faults.size());
+    for (const policy_fault &fault : faults) {
+        made.push_back({ fault.path, fault.problem, fault.allowed });
+    }
+    return made;
+}
+
+} // namespace cicadamux::detail
--- /dev/null
+++ b/tests/unit/operator_fleet_fake.h
@@ -0,0 +1,256 @@
+/** @file operator_fleet_fake.h A platform, a fleet and a clock for tests of operators' queries: no sockets, no real time. */
+
+#pragma once
+
+#include "operator/data_center_memory_base.h"
+#include "operator/operator_hooks_type.h"
+#include "operator/query_func.h"
+#include "operator/query_result_type.h"
+#include "policy/policy_func.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadamux::test {
+
+/** Virtual time: events run in the order of their instants. */
+class event_queue
+{
+public:
+    void after(std::int64_t ms, std::function<void()> action)
+    {
+        m_events.emplace(now + ms, std::move(action));
+    }
+
+    void run()
+    {
+        while (!m_events.empty()) {
+            const auto first = m_events.begin();
+            now = std::max(now, first->first);
+            const std::function<void()> action = std::move(first->second);
+            m_events.erase(first);
+            action();
+        }
+    }
+
+    std::int64_t now = 0;
+
+private:
+    std::multimap<std::int64_t, std::function<void()>> m_events;
+};
+
+/** What goes wrong with one call to the platform. */
+enum class platform_trouble { none, down, lost_before, lost_after, takes_effect_late, stale_read };
+
+/** Holds objects as the platform does; `trouble` decides about each call. */
+class fake_platform : public platform_client
+{
+public:
+    explicit fake_platform(event_queue &queue)
+        : m_queue(queue)
+    {
+    }
+
+    /** Writes at once, as another operator would. */
+    void write(const std::string &kind, const std::string &name, const std::string &value)
+    {
+        auto &versions = history[{ kind, name }];
+        versions.push_back({ kind, name, versions.empty() ? 1 : versions.back().version + 1, value });
+    }
+
+    void get(std::string_view kind, std::string_view name, platform_handler<platform_object> handler) override
+    {
+        const auto trouble = next();
+        const auto &versions = history[{ std::string(kind), std::string(name) }];
+        platform_result<platform_object> result;
+        result.failure = failureOf(trouble);
+        if (result.failure == platform_failure::none && versions.empty()) {
+            result.failure = platform_failure::not_found;
+        } else if (result.failure == platform_failure::none) {
+            result.value = versions[trouble == platform_trouble::stale_read && versions.size() > 1 ? versions.size() - 2 : versions.size() - 1];
+        }
+        m_queue.after(1, [handler, result] { handler(result); });
+    }
+
+    void put(std::string_view kind, std::string_view name, std::string_view value, std::uint64_t ifVersion, platform_handler<std::uint64_t> handler) override
+    {
+        const auto trouble = next();
+        const auto apply = [this, kind = std::string(kind), name = std::string(name), value = std::string(value), ifVersion] {
+            auto &versions = history[{ kind, name }];
+            const std::uint64_t current = versions.empty() ? 0 : versions.back().version;
+            platform_result<std::uint64_t> result;
+            if (current != ifVersion) {
+                result.failure = platform_failure::conflict;
+                result.currentVersion = current;
+                return result;
+            }
+            write(kind, name, value);
+            result.value = current + 1;
+            return result;
+        };
+        if (trouble == platform_trouble::takes_effect_late) {
+            m_queue.after(700, [apply] { apply(); });
+        }
+        m_queue.after(1, [handler, apply, trouble] {
+            platform_result<std::uint64_t> result;
+            if (trouble == platform_trouble::none || trouble == platform_trouble::stale_read || trouble == platform_trouble::lost_after) {
+                result = apply();
+            }
+            if (failureOf(trouble) != platform_failure::none) {
+                result = {};
+                result.failure = failureOf(trouble);
+            }
+            handler(result);
+        });
+    }
+
+    void list(std::string_view /*kind*/, platform_handler<platform_changes> handler) override
+    {
+        handler({ platform_failure::unreachable, 0, {} });
+    }
+
+    void watch(std::string_view /*kind*/, std::uint64_t /*cursor*/, clock_ms /*wait*/, platform_handler<platform_changes> handler) override
+    {
+        handler({ platform_failure::unreachable, 0, {} });
+    }
+
+    std::size_t writes() const
+    {
+        std::size_t count = 0;
+        for (const auto &[key, versions] : history) {
+            count += versions.size();
+        }
+        return count;
+    }
+
+    std::function<platform_trouble()> trouble; ///< Unset: all goes well.
+    std::map<std::pair<std::string, std::string>, std::vector<platform_object>> history; ///< All versions, by kind and name.
+
+private:
+    platform_trouble next()
+    {
+        return trouble ? trouble() : platform_trouble::none;
+    }
+
+    static platform_failure failureOf(platform_trouble trouble)
+    {
+        switch (trouble) {
+        case platform_trouble::none:
+        case platform_trouble::stale_read:
+            return platform_failure::none;
+        case platform_trouble::down:
+            return platform_failure::unreachable;
+        case platform_trouble::lost_after:
+            return platform_failure::connection_lost;
+        default:
+            return platform_failure::timeout;
+        }
+    }
+
+    event_queue &m_queue;
+};
+
+/** A fleet of daemons that answer each other; those in `silent` never do. */
+class fake_fleet
+{
+public:
+    fake_fleet()
+        : platform(queue)
+    {
+        policies = policy_set().withRankTable({ 3, "first", { { "urgent", true, 100 }, { "late-ok", false, 50 }, { "browse", false, 10 } } });
+        service_policy desk{ 2, "first-desk", "pitchdesk", { { "hold", "pitch-hold", "urgent", { "feebox" }, { 2000 }, false, { 60000 }, 0, true } } };
+        service_policy fees{ 1, "first-fees", "feebox", { { "pay", "fee", "urgent", {}, { 2000 }, false, { 60000 }, 0, true } } };
+        policies = policies->withService(desk)->withService(fees);
+        platform.write("rank_table", "default", formatRankTable(policies->rankTable()));
+        platform.write("service_policy", "pitchdesk", formatServicePolicy(desk));
+        platform.write("service_policy", "feebox", formatServicePolicy(fees));
+    }
+
+    /** Adds a daemon; the first one is asked by run(). */
+    void add(const std::string &host, const std::string &dataCenter, const std::string &service)
+    {
+        member_record member;
+        member.host = host;
+        member.dataCenter = dataCenter;
+        member.service = service;
+        member.server = service.empty() ? server_state::absent : server_state::serving;
+        member.configurationDigest = digest;
+        view.push_back(member);
+        logs.emplace(host, std::make_unique<refusal_log>(64, clock_ms{ 0 }));
+        generations[host] = { { "rank_table", "default", 3 }, { "service_policy", "pitchdesk", 2 }, { "service_policy", "feebox", 1 } };
+        memory.note(view, clock_ms{ queue.now });
+    }
+
+    std::shared_ptr<operator_hooks> hooksOf(const std::string &host)
+    {
+        auto hooks = std::make_shared<operator_hooks>();
+        hooks->host = host;
+        for (const member_record &member : view) {
+            hooks->dataCenter = member.host == host ? member.dataCenter : hooks->dataCenter;
+        }
+        hooks->wallNow = [this] { return clock_ms{ queue.now }; };
+        hooks->steadyNow = hooks->wallNow;
+        hooks->random = [this] { return random(); };
+        hooks->view = [this] { return std::make_shared<const std::vector<member_record>>(view); };
+        hooks->dataCenters = [this] { return memory.names(clock_ms{ queue.now }); };
+        hooks->upstreams = [] { return std::vector<upstream_state>(1); };
+        hooks->gate = [] { return std::optional(gate_snapshot{ 8, 7, 3, { rank_id{ 0 }, 12 }, "latency_rose", clock_ms{ 0 } }); };
+        hooks->refusals = logs.at(host).get();
+        hooks->policies = [this] { return policies; };
+        hooks->generations = [this, host] { return generations.at(host); };
+        hooks->configurationDigest = [this] { return digest; };
+        hooks->offer = [this](const configuration_object &) {
+            ++offers;
+            return offer_result::applied;
+        };
+        hooks->ask
+            = [this](const member_record &member, std::string query, clock_ms, ask_handler handler) { ask(member.host, std::move(query), std::move(handler)); };
+        hooks->schedule = [this](clock_ms after, std::function<void()> action) { queue.after(after.count, std::move(action)); };
+        hooks->platform = &platform;
+        hooks->setDraining = [this, host](bool isDraining) { draining[host] = isDraining; };
+        return hooks;
+    }
+
+    /** Runs one query at the first daemon, to its end; fails if it isn't answered exactly once. */
+    query_result run(const std::string &line)
+    {
+        int answers = 0;
+        std::string json;
+        runQuery(line, hooksOf(view.front().host), [&](std::string answer) {
+            ++answers;
+            json = std::move(answer);
+        });
+        queue.run();
+        if (answers != 1) {
+            throw error("answered " + std::to_string(answers) + " times: " + line);
+        }
+        return parseResultJson(json);
+    }
+
+    event_queue queue;
+    fake_platform platform;
+    std::mt19937_64 random{ 1 };
+    std::vector<member_record> view;
+    std::set<std::string> silent;
+    std::map<std::string, std::unique_ptr<refusal_log>> logs;
+    std::map<std::string, std::vector<object_generation>> generations;
+    std::map<std::string, bool> draining;
+    std::shared_ptr<const policy_set> policies;
+    data_center_memory memory;
+    std::uint64_t digest = 77;
+    int offers = 0;
+
+private:
+    void ask(const std::string &host, std::string query, ask_handler handler)
+    {
+        if (silent.contains(host)) {
+            return;
+        }
+        queue.after(5, [this, host, query = std::move(query), handler = std::move(handler)] { handler(answerAsk(query, *hooksOf(host))); });
+    }
+};
+
+} // namespace cicadamux::test
