Add: The operators' language: queries over the fleet, and changes that are settled

Waiting is the tool's work (show in-force twice a second), so that no daemon keeps a waiting operator. The randomised run found that a word with bytes beyond ASCII made an answer that isn't JSON: refused now with its place. Tests under valgrind found a range-for over a temporary view.

--- a/src/operator/command_line.cpp
+++ b/src/operator/command_line.cpp
@@ -2,7 +2,7 @@
 
 #include "operator/command_line_func.h"
 
-#include "daemon/daemon_func.h"
+#include "operator/command_parser_func.h"
 #include "operator/exit_code_type.h"
 #include "operator/subcommands_func.h"
 #include "settings/settings_func.h"
@@ -17,6 +17,10 @@
 #include <vector>
 
 ABSL_FLAG(std::string, settings, "", "settings file of the daemon");
+ABSL_FLAG(std::string, admin, "127.0.0.1:7004", "admin address of any daemon, IP:port");
+ABSL_FLAG(bool, json, false, "print the answer as JSON");
+ABSL_FLAG(std::uint32_t, wait_s, 30, "seconds to wait until a change is in force everywhere; 0: don't wait");
+ABSL_FLAG(std::uint32_t, time_limit_ms, 15'000, "longest wait for one answer of the daemon");
 ABSL_FLAG(bool, markdown, false, "print an explanation as a Markdown page");
 
 namespace cicadamux {
@@ -26,6 +30,8 @@
 
 using arguments = std::vector<std::string>;
 
+daemon_runner daemonRunner; // Set by runCommandLine().
+
 struct subcommand_row {
     std::string_view name; ///< One or two words.
     std::string_view usage; ///< What follows the name.
@@ -48,6 +54,14 @@
     }
 }
 
+admin_options adminOptions()
+{
+    return { absl::GetFlag(FLAGS_admin),
+             absl::GetFlag(FLAGS_json),
+             clock_ms{ absl::GetFlag(FLAGS_wait_s) * std::int64_t{ 1'000 } },
+             clock_ms{ absl::GetFlag(FLAGS_time_limit_ms) } };
+}
+
 int runDaemonCommand(const arguments &rest)
 {
     expectCount(rest, 0, 0, "no further words after daemon");
@@ -55,7 +69,7 @@
     if (file.empty()) {
         throw usage_error("expected --settings=FILE");
     }
-    return runDaemon(loadSettings(file));
+    return daemonRunner(loadSettings(file));
 }
 
 int runSettingsCheck(const arguments &rest)
@@ -79,6 +93,18 @@
     return toExit(checkPolicyFiles(rest, std::cout));
 }
 
+int runQueryCommand(const arguments &rest)
+{
+    expectCount(rest, 1, 1, "one query, in quotes");
+    return toExit(runAdminQuery(rest.front(), adminOptions(), std::cout));
+}
+
+int runPromptCommand(const arguments &rest)
+{
+    expectCount(rest, 0, 0, "no further words after prompt");
+    return toExit(runPrompt(adminOptions(), std::cout));
+}
+
 int runVersion(const arguments &rest)
 {
     expectCount(rest, 0, 0, "no further words after version");
@@ -86,12 +112,14 @@
     return toExit(query_status::ok);
 }
 
-constexpr std::array<subcommand_row, 6> subcommands = { {
+constexpr std::array<subcommand_row, 8> subcommands = { {
     { "daemon", "--settings=FILE", "Runs a daemon until SIGTERM or SIGINT, then stops it gracefully", runDaemonCommand },
     { "settings check", "FILE", "Checks a settings file and tells all its faults", runSettingsCheck },
     { "settings explain", "[--markdown]", "Explains each setting: type, unit, range, default", runSettingsExplain },
     { "policy check", "FILE...", "Checks policy files, each alone and all together", runPolicyCheck },
-    { "help", "", "Shows this help", runHelp },
+    { "query", "'LINE' [--admin=ADDRESS] [--json] [--wait_s=N]", "Asks a daemon a line of the operators' language", runQueryCommand },
+    { "prompt", "[--admin=ADDRESS]", "Asks a daemon line after line, with history and completion", runPromptCommand },
+    { "help", "[--markdown]", "Shows this help, or the page of the operators' language", runHelp },
     { "version", "", "Shows the version", runVersion },
 } };
 
@@ -110,7 +138,7 @@
 
 int runHelp(const arguments & /*rest*/)
 {
-    std::cout << usageText();
+    std::cout << (absl::GetFlag(FLAGS_markdown) ? explainLanguageMarkdown() : usageText());
     return toExit(query_status::ok);
 }
 
@@ -181,8 +209,9 @@
 }
 } // namespace
 
-int runCommandLine(int argc, char **argv)
+int runCommandLine(int argc, char **argv, daemon_runner runDaemon)
 {
+    daemonRunner = std::move(runDaemon);
     try {
         return dispatch(parseFlags(argc, argv));
     } catch (const usage_error &wrong) {
--- a/src/operator/local_answers.cpp
+++ b/src/operator/local_answers.cpp
@@ -44,7 +44,8 @@
 
 std::string servedService(const operator_hooks &hooks)
 {
-    for (const member_record &member : *hooks.view()) {
+    const auto view = hooks.view();
+    for (const member_record &member : *view) {
         if (member.host == hooks.host) {
             return member.service;
         }
--- a/src/operator/operator_hooks_type.h
+++ b/src/operator/operator_hooks_type.h
@@ -36,6 +36,7 @@
     random_source random; ///< For operation ids; not to be guessed.
 
     std::function<std::shared_ptr<const std::vector<member_record>>()> view; ///< The members, this daemon among them.
+    std::function<std::vector<std::string>()> dataCenters; ///< All that are known, reachable or not; see data_center_memory.
     std::function<std::vector<upstream_state>()> upstreams; ///< As this daemon's routing sees them.
     std::function<std::optional<gate_snapshot>()> gate; ///< Nothing while no backend server has announced itself.
     std::function<clock_ms()> steadyNow; ///< The clock of gate_snapshot::limitMovedAt.
--- a/src/operator/policy_change.cpp
+++ b/src/operator/policy_change.cpp
@@ -8,6 +8,7 @@
 
 #include "operator/query_run_func.h"
 
+#include "core/log_func.h"
 #include "operator/policy_edit_func.h"
 #include "policy/policy_func.h"
 
@@ -109,7 +110,7 @@
             finish(query_status::ok, "it is so already, in generation " + std::to_string(generationOf(m_base)) + "; nothing was written");
         } else if (m_wanted.previewOnly) {
             query_result result = makeAnswer(query_status::ok, "a preview; nothing was written");
-            result.other = named(m_base);
+            result.base = named(m_base);
             finish(std::move(result));
         } else {
             m_attempts = 0;
@@ -246,6 +247,10 @@
     void accept()
     {
         const offer_result offered = m_hooks.offer({ m_target.kind, m_target.name, generationOf(m_edited), m_value });
+        logEvent(
+            log_level::info,
+            "change_accepted",
+            { { "kind", m_target.kind }, { "name", m_target.name }, { "generation", generationOf(m_edited) }, { "operation_id", operationIdOf(m_edited) } });
         query_result result = makeAnswer(query_status::accepted, "the platform has it as generation " + std::to_string(generationOf(m_edited)));
         if (offered == offer_result::conflicting || offered == offer_result::stale) {
             result.summary += "; this daemon has meanwhile a later change in force";
--- a/src/operator/policy_edit.cpp
+++ b/src/operator/policy_edit.cpp
@@ -44,7 +44,9 @@
         for (std::size_t index = 0; index < value.get_array().size(); ++index) {
             const std::string name = elementName(value.get_array()[index], index);
             order += (order.empty() ? "" : ",") + name;
-            flatten(value.get_array()[index], path + '[' + name + ']', into);
+            std::string elementPath = path;
+            elementPath.append("[").append(name).append("]");
+            flatten(value.get_array()[index], elementPath, into);
         }
         into[path] = order;
     } else {
--- a/src/operator/query.cpp
+++ b/src/operator/query.cpp
@@ -67,7 +67,6 @@
     }
     void operator()(const change_command &wanted)
     {
-        logEvent(log_level::info, "operator_change", { { "preview", wanted.previewOnly } });
         runChange(wanted, std::move(run));
     }
 };
--- a/src/operator/query_result_json.cpp
+++ b/src/operator/query_result_json.cpp
@@ -4,13 +4,26 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace cicadamux {
 
 namespace {
 namespace json = boost::json;
 
+/** Replaces what would make JSON that others refuse: names in records may come from a network. */
+std::string printable(std::string text)
+{
+    std::ranges::replace_if(
+        text, [](char character) { return character < ' ' || character > '~'; }, '?');
+    return text;
+}
+
 json::value cellJson(const query_cell &cell)
 {
+    if (const auto *text = std::get_if<std::string>(&cell)) {
+        return json::value(printable(*text));
+    }
     return std::visit([](const auto &value) { return json::value(value); }, cell);
 }
 
@@ -153,6 +166,9 @@
     if (const json::value *change = source.if_contains("change")) {
         result.change = readGeneration(change->as_object());
     }
+    if (const json::value *base = source.if_contains("base")) {
+        result.base = readGeneration(base->as_object());
+    }
     if (const json::value *other = source.if_contains("other")) {
         result.other = readGeneration(other->as_object());
     }
@@ -178,6 +194,9 @@
     if (result.change) {
         made["change"] = generationJson(*result.change);
     }
+    if (result.base) {
+        made["base"] = generationJson(*result.base);
+    }
     if (result.other) {
         made["other"] = generationJson(*result.other);
     }
--- a/src/operator/query_result_type.h
+++ b/src/operator/query_result_type.h
@@ -62,6 +62,7 @@
     std::vector<change_fault> faults; ///< For `refused`.
     std::vector<value_difference> differences; ///< What a change alters.
     std::optional<named_generation> change; ///< What this change wrote, or tried to.
+    std::optional<named_generation> base; ///< For a preview: the generation that it was made from.
     std::optional<named_generation> other; ///< For `conflict`: the change that came first.
     std::optional<clock_ms> reach; ///< How far back the answer reaches.
 };
--- a/src/operator/query_run.cpp
+++ b/src/operator/query_run.cpp
@@ -24,7 +24,8 @@
 std::vector<member_record> membersOf(const operator_hooks &hooks, std::string_view service, std::string_view dataCenter)
 {
     std::vector<member_record> chosen;
-    for (const member_record &member : *hooks.view()) {
+    const auto view = hooks.view();
+    for (const member_record &member : *view) {
         const bool fits = (service.empty() || member.service == service) && (dataCenter.empty() || member.dataCenter == dataCenter);
         if (fits && member.state != member_state::dead) {
             chosen.push_back(member);
--- a/src/operator/subcommands_func.h
+++ b/src/operator/subcommands_func.h
@@ -28,4 +28,13 @@
  */
 query_status checkPolicyFiles(std::span<const std::string> files, std::ostream &out);
 
+/**
+ * Asks a daemon one line and prints the answer. A change is shown first, then made from the generation that was shown,
+ * then waited for until it is in force everywhere.
+ */
+query_status runAdminQuery(const std::string &line, const admin_options &options, std::ostream &out);
+
+/** Reads lines with history and completion, and runs each; a change is confirmed first. Ends with the input or `quit`. */
+query_status runPrompt(const admin_options &options, std::ostream &out);
+
 } // namespace cicadamux
--- a/src/operator/tokenizer.cpp
+++ b/src/operator/tokenizer.cpp
@@ -42,12 +42,21 @@
     if (end - begin > maxWordLength) {
         refuse(begin, "word of at most " + std::to_string(maxWordLength) + " bytes");
     }
-    for (std::size_t position = begin; position < end; ++position) {
-        if (static_cast<unsigned char>(line[position]) < ' ') {
-            refuse(position, "text without control characters");
+    return end;
+}
+
+bool isAllowed(char character)
+{
+    return (character >= ' ' && character <= '~') || blanks.find(character) != std::string_view::npos;
+}
+
+void checkCharacters(std::string_view line)
+{
+    for (std::size_t position = 0; position < line.size(); ++position) {
+        if (!isAllowed(line[position])) {
+            refuse(position, "printable ASCII character; JSON has \\u escapes for others");
         }
     }
-    return end;
 }
 } // namespace
 
@@ -56,6 +65,7 @@
     if (line.size() > maxQueryLength) {
         refuse(maxQueryLength, "line of at most " + std::to_string(maxQueryLength) + " bytes");
     }
+    checkCharacters(line);
     std::vector<query_word> words;
     std::size_t position = line.find_first_not_of(blanks);
     while (position != std::string_view::npos) {
--- a/src/operator/tokenizer_func.h
+++ b/src/operator/tokenizer_func.h
@@ -20,7 +20,7 @@
 
 /**
  * Splits at blanks. A word that begins with `{` is JSON and ends with its closing bracket.
- * @throws parse_error for control characters, too many or too long words, and JSON that doesn't end.
+ * @throws parse_error for what isn't printable ASCII, too many or too long words, and JSON that doesn't end.
  */
 std::vector<query_word> splitWords(std::string_view line);
 
--- a/tests/unit/operator_fleet_fake.h
+++ b/tests/unit/operator_fleet_fake.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/log_func.h"
 #include "operator/data_center_memory_base.h"
 #include "operator/operator_hooks_type.h"
 #include "operator/query_func.h"
@@ -160,6 +161,11 @@
     fake_fleet()
         : platform(queue)
     {
+        static const bool isQuiet = [] {
+            setUpLog("test", "/dev/null", log_level::error);
+            return true;
+        }();
+        (void)isQuiet;
         policies = policy_set().withRankTable({ 3, "first", { { "urgent", true, 100 }, { "late-ok", false, 50 }, { "browse", false, 10 } } });
         service_policy desk{ 2, "first-desk", "pitchdesk", { { "hold", "pitch-hold", "urgent", { "feebox" }, { 2000 }, false, { 60000 }, 0, true } } };
         service_policy fees{ 1, "first-fees", "feebox", { { "pay", "fee", "urgent", {}, { 2000 }, false, { 60000 }, 0, true } } };
--- a/tests/unit/operator_fleet_test.cpp
+++ b/tests/unit/operator_fleet_test.cpp
@@ -116,15 +116,16 @@
 TEST_CASE_FIXTURE(fleet_fixture, "a data centre that is cut off is named, and in force is never said of it")
 {
     std::erase_if(fleet.view, [](const member_record &member) { return member.dataCenter == "dc-2"; });
-    fleet.memory.note(fleet.view, clock_ms{ fleet.queue.now });
+    const clock_ms cutOff{ fleet.queue.now };
+    fleet.memory.note(fleet.view, cutOff);
     const query_result result = fleet.run("show in-force ranks generation 3");
     CHECK(is(result, query_status::accepted));
     CHECK(result.summary == "not in force everywhere; unreachable: dc-2");
     for (const query_row &row : result.tables.at(0).rows) {
         CHECK((row[2] == query_cell("dc-2")) == (row[6] == query_cell("unreachable")));
     }
-    CHECK(fleet.memory.names(clock_ms{ fleet.queue.now } + dataCenterMemory).size() == 3);
-    CHECK(fleet.memory.names(clock_ms{ fleet.queue.now + 1 } + dataCenterMemory).size() == 2);
+    CHECK(fleet.memory.names(cutOff + dataCenterMemory).size() == 3);
+    CHECK(fleet.memory.names(cutOff + clock_ms{ 1 } + dataCenterMemory).size() == 2);
 }
 
 TEST_CASE_FIXTURE(fleet_fixture, "drain reaches the host's own daemon, and silence is unknown")
