--- a/src/admission/share.cpp
+++ b/src/admission/share.cpp
@@ -18,7 +18,7 @@
     }
     std::vector<double> given(claims.size());
     for (const std::size_t index : order) {
-        const double fair = capacity * claims[index].weight / weightLeft;
+        const double fair = capacity * claims[index].weight / std::max(weightLeft, claims[index].weight);
         given[index] = std::min(claims[index].demand, fair);
         capacity = std::max(0.0, capacity - given[index]);
         weightLeft -= claims[index].weight;
