--- a/tests/unit/admission_level_board_test.cpp
+++ b/tests/unit/admission_level_board_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace cicadamux;
 
 namespace {
@@ -88,3 +90,27 @@
     REQUIRE(few.size() == 3);
     CHECK(few.front().age <= few.back().age);
 }
+
+TEST_CASE("the board stays whole while many threads note, check and read")
+{
+    level_board board;
+    const auto work = [&board](std::uint64_t seed) {
+        for (std::uint64_t number = 0; number < 20'000; ++number) {
+            const clock_ms now{ static_cast<std::int64_t>(1'000 + number) };
+            const std::string text = std::to_string((number * seed) % 300);
+            board.note({ "service" + text, "host" + std::to_string(number % 70), { leastRank, 0 }, {} }, now);
+            board.check(services, leastRank, root_id{ number + 1 }, false, now);
+            if (number % 100 == 0) {
+                board.known(now, 10);
+            }
+        }
+    };
+    std::vector<std::thread> threads;
+    for (const std::uint64_t seed : { 1, 3, 7, 11 }) {
+        threads.emplace_back(work, seed);
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    CHECK(board.known(clock_ms{ 21'000 }, 100'000).size() > 300);
+}
