Fix: Neighbours that forgot each other meet again

Now a daemon alone asks its seeds even if they are alive, and one comparison of four asks a member of another data centre about all members.

--- a/src/fleet/fleet_exchange.cpp
+++ b/src/fleet/fleet_exchange.cpp
@@ -173,12 +173,16 @@
             }
         }
         if (now >= nextInterest && (interests.empty() || !others.empty())) {
-            const bool asksAll = interests.empty() && (others.empty() || threadRandom() % allShare == 0); // So that a data centre unknown here is found.
-            const std::string other = asksAll ? std::string() : others[threadRandom() % others.size()];
+            const bool asksAll = interests.empty() && (others.empty() || threadRandom() % allShare == 0);
+            const std::string &other = others.empty() ? settings.dataCenter : others[threadRandom() % others.size()];
             const auto size = static_cast<std::int64_t>(published.load()->size());
             const clock_ms abroad = std::max(leastInterestPeriod, clock_ms{ size * interestShare });
             nextInterest = now + jitteredSpan(interests.empty() ? localPeriod : abroad);
-            due.emplace_back(table.randomPeer(interests.empty() ? settings.dataCenter : other), other, interests);
+            if (asksAll) { // Finds a data centre that is unknown here, and neighbours that only others know.
+                due.emplace_back(table.randomPeer(other), std::string(), interests);
+            } else {
+                due.emplace_back(table.randomPeer(interests.empty() ? settings.dataCenter : other), other, interests);
+            }
         }
     }
     for (const auto &[address, dataCenter, services] : due) {
--- a/src/membership/member_table_spread.cpp
+++ b/src/membership/member_table_spread.cpp
@@ -171,10 +171,11 @@
         return;
     }
     const std::string &address = addresses[below(addresses.size())];
-    if (isLiveAddress(address)) {
+    const bool isAlone = store.liveCount(dataCenter) <= 1;
+    if (!isAlone && isLiveAddress(address)) {
         return; // Seeds would otherwise hear from the whole fleet, all the time.
     }
-    if (store.liveCount(dataCenter) <= 1) {
+    if (isAlone) {
         wantExchange(address);
         nextReconnect = now + jittered(settings.probePeriod);
     }
--- a/tests/support/membership_network.cpp
+++ b/tests/support/membership_network.cpp
@@ -153,7 +153,8 @@
     }
     if (settings.interests.empty()) {
         const bool asksAll = others.empty() || m_engine() % 4 == 0;
-        compareWith(node, node.table->randomPeer(node.dataCenter), asksAll ? std::string() : others[m_engine() % others.size()]);
+        const std::string &other = others.empty() ? node.dataCenter : others[m_engine() % others.size()];
+        compareWith(node, node.table->randomPeer(asksAll ? other : node.dataCenter), asksAll ? std::string() : other);
     } else if (!others.empty()) {
         const std::string &other = others[m_engine() % others.size()];
         compareWith(node, node.table->randomPeer(other), other);
--- a/tests/unit/membership_table_test.cpp
+++ b/tests/unit/membership_table_test.cpp
@@ -166,6 +166,22 @@
     CHECK(network.difference() == "");
 }
 
+TEST_CASE("neighbours that forgot each other while they were cut off meet again through another data centre")
+{
+    gossip_network network(12);
+    network.startMany("a", 4, "tbs-1");
+    network.startMany("b", 6, "tbs-2");
+    network.run({ 5'000 });
+    network.reaches = [](const std::string &from, const std::string &to) {
+        const auto side = [](const std::string &host) { return host.front() == 'b' ? host.back() % 2 : 2; };
+        return side(from) == side(to) || side(from) == 2 || side(to) == 2;
+    };
+    network.run({ 700'000 });
+    network.reaches = nullptr;
+    network.run({ 25'000 });
+    CHECK(network.difference() == "");
+}
+
 TEST_CASE("a daemon keeps of other data centres the services of its interest and a few contacts, and its duty holders all")
 {
     gossip_network network(10);
