--- a/tests/bench/measure_main.cpp
+++ b/tests/bench/measure_main.cpp
@@ -27,7 +27,7 @@
 constexpr std::array scenarios{ scenario_row{ "added-latency", measureAddedLatency }, scenario_row{ "surge", measureSurge },
                                 scenario_row{ "slow-deep", measureSlowDeep },         scenario_row{ "flood-low", measureFloodLow },
                                 scenario_row{ "flood-high", measureFloodHigh },       scenario_row{ "retry-storm", measureRetryStorm },
-                                scenario_row{ "late-answers", measureLateAnswers } };
+                                scenario_row{ "late-answers", measureLateAnswers },   scenario_row{ "control-cost", measureControlCost } };
 
 int runScenario(std::string_view name)
 {
--- a/tests/bench/measure_scenario.h
+++ b/tests/bench/measure_scenario.h
@@ -28,6 +28,7 @@
 void measureFloodHigh(const measure_options &options);
 void measureRetryStorm(const measure_options &options);
 void measureLateAnswers(const measure_options &options);
+void measureControlCost(const measure_options &options);
 
 /** @throws cicadamux::error if there is no such deployment. */
 deployment makeDeployment(std::string_view name, const measure_options &options);
