--- a/tests/bench/measure_overload.cpp
+++ b/tests/bench/measure_overload.cpp
@@ -43,20 +43,39 @@
     return line;
 }
 
-/** @return Seconds after `from` until the goodput stays at `wanted` for half a second; minus one if it never does. */
+/** @return Sum of a series' steps, those beyond its end counted as zero. */
+double sumSteps(const std::vector<std::uint32_t> &series, std::size_t from, std::size_t count)
+{
+    double sum = 0;
+    for (std::size_t step = from; step < from + count && step < series.size(); ++step) {
+        sum += series[step];
+    }
+    return sum;
+}
+
+/**
+ * A short burst of answers isn't a recovery: from then on each second has to bring 80% of it, where chance leaves
+ * a second of a few hundred answers well above that.
+ * @return Seconds after `from` until half a second brings the wanted goodput, and it stays up; minus one if it never does.
+ */
 double recoveryOf(const std::vector<std::uint32_t> &series, std::size_t from, std::size_t end, double wantedPerStep, double stepSeconds)
 {
     constexpr std::size_t window = 5; // Steps.
-    for (std::size_t step = from; step + window <= end && step + window <= series.size(); ++step) {
-        double sum = 0;
-        for (std::size_t inner = step; inner < step + window; ++inner) {
-            sum += series[inner];
+    constexpr std::size_t second = 10; // Steps.
+    constexpr double keptPart = 0.8;
+    std::size_t recovered = end;
+    for (std::size_t step = end - second; step + 1 > from; --step) {
+        if (sumSteps(series, step, second) < keptPart * wantedPerStep * second) {
+            break;
+        }
+        if (sumSteps(series, step, window) >= wantedPerStep * window) {
+            recovered = step;
         }
-        if (sum >= wantedPerStep * window) {
-            return static_cast<double>(step - from) * stepSeconds;
+        if (step == from) {
+            break;
         }
     }
-    return -1;
+    return recovered == end ? -1 : static_cast<double>(recovered - from) * stepSeconds;
 }
 
 report_line slowDeepOf(const std::string &name, const std::string &mode, const measure_options &options)
@@ -79,15 +98,9 @@
         fleet.control(host.backend, { { "fault", "slow" }, { "factor", slowFactor }, { "for_ms", slow.count } });
     }
     const load_result result = run.finish();
-    auto series = result.total().series;
+    const auto series = result.total().series;
     const auto steps = [&](clock_ms span) { return static_cast<std::size_t>(span.count / step.count); };
-    const auto sumOf = [&](std::size_t from, std::size_t to) {
-        double sum = 0;
-        for (std::size_t index = from; index < to && index < series.size(); ++index) {
-            sum += series[index];
-        }
-        return sum / static_cast<double>(to - from);
-    };
+    const auto sumOf = [&](std::size_t from, std::size_t to) { return sumSteps(series, from, to - from) / static_cast<double>(to - from); };
     const double usual = sumOf(steps(before) / 2, steps(before));
     const std::size_t slowEnd = steps(before + slow);
     const std::size_t end = slowEnd + steps(after);
--- a/tests/support/fleet_process.h
+++ b/tests/support/fleet_process.h
@@ -28,4 +28,11 @@
  */
 void waitUntilReady(process &subject, const std::string &address, std::string_view target, clock_ms timeout);
 
+/**
+ * Asks a daemon until it routes the first operation of a service policy: for a ticket, where the operation is
+ * at-most-once, else by a call.
+ * @throws process_error if the process ends or the time is over before.
+ */
+void waitUntilRoutes(process &daemon, const std::string &edge, const std::string &policy, clock_ms timeout);
+
 } // namespace cicadamux::test::detail
