--- a/tests/bench/measure_fault.cpp
+++ b/tests/bench/measure_fault.cpp
@@ -60,7 +60,10 @@
     report_line line;
     line.add("scenario", "retry-storm").add("mode", mode).add("depth", std::uint64_t{ stormDepth }).add("roots", total.tried);
     line.add("attempts_max", std::max(most, deepest)).add("attempts_bound", 1 + chainAllowance);
-    line.add("amplification", perRoot / stormDepth).add("calls_for_each_root", perRoot).add("cpu_busy", meter.busy());
+    line.add("amplification", perRoot / stormDepth)
+        .add("calls_for_each_root", perRoot)
+        .add("violations", sumGauge(fleet, "violations_"))
+        .add("cpu_busy", meter.busy());
     return line;
 }
 
@@ -113,7 +116,7 @@
     line.add("wrong_answers", total.wrongAnswers + sumCounter(fleet, "wrong_answers")).add("duplicates", truth.duplicates);
     line.add("not_run_but_ran", truth.notRunButRan).add("good", total.good).add("failed", total.failed).add("not_run", total.notRun);
     line.add("unknown", total.unknown).add("late", total.late).add("reasons", formatReasons(total.reasons));
-    line.add("cpu_busy", meter.busy());
+    line.add("violations", sumGauge(fleet, "violations_")).add("cpu_busy", meter.busy());
     return line;
 }
 } // namespace
--- a/tests/bench/measure_flood.cpp
+++ b/tests/bench/measure_flood.cpp
@@ -56,7 +56,7 @@
         line.add((isFlood ? "flood_served_" : "kept_") + label, before > 0 ? servedRatio(result.byLabel[label]) / (isFlood ? 1 : before) : 0);
     }
     line.add("goodput", static_cast<double>(result.total().good) / result.seconds).add("wrong_answers", result.total().wrongAnswers);
-    line.add("not_sent", result.total().notSent).add("cpu_busy", meter.busy());
+    line.add("not_sent", result.total().notSent).add("violations", sumGauge(fleet, "violations_")).add("cpu_busy", meter.busy());
     return line;
 }
 
--- a/tests/bench/measure_overload.cpp
+++ b/tests/bench/measure_overload.cpp
@@ -39,7 +39,10 @@
     line.add("goodput_ratio_2x", goodput(twice) / goodput(atCapacity)).add("goodput_ratio_5x", goodput(five) / goodput(atCapacity));
     line.add("offered_1x", static_cast<double>(atCapacity.total().tried) / atCapacity.seconds);
     line.add("reasons_1x", formatReasons(atCapacity.total().reasons)).add("reasons_5x", formatReasons(five.total().reasons));
-    line.add("not_sent", five.total().notSent).add("wrong_answers", five.total().wrongAnswers).add("cpu_busy", meter.busy());
+    line.add("not_sent", five.total().notSent)
+        .add("wrong_answers", five.total().wrongAnswers)
+        .add("violations", sumGauge(fleet, "violations_"))
+        .add("cpu_busy", meter.busy());
     return line;
 }
 
@@ -111,7 +114,7 @@
     line.add("slow_s", static_cast<double>(slow.count) / 1'000).add("goodput_before", usual / stepSeconds);
     line.add("goodput_slow", sumOf(steps(before) + 5, slowEnd) / stepSeconds).add("goodput_last_2s", sumOf(end - 20, end) / stepSeconds);
     line.add("reasons", formatReasons(result.total().reasons));
-    line.add("wrong_answers", result.total().wrongAnswers).add("cpu_busy", meter.busy());
+    line.add("wrong_answers", result.total().wrongAnswers).add("violations", sumGauge(fleet, "violations_")).add("cpu_busy", meter.busy());
     return line;
 }
 
