--- a/src/operator/admin_session.cpp
+++ b/src/operator/admin_session.cpp
@@ -58,6 +58,18 @@
     out << (options.asJson ? formatResultJson(result) + '\n' : formatResultText(result)) << std::flush;
 }
 
+void printDifferences(const query_result &preview, const admin_options &options, std::ostream &out)
+{
+    if (options.asJson) {
+        print(preview, options, out);
+        return;
+    }
+    out << "this alters:\n";
+    for (const value_difference &difference : preview.differences) {
+        out << "  " << formatDifference(difference) << '\n';
+    }
+}
+
 std::string inForceLine(const named_generation &change)
 {
     const std::string object = change.kind == rankTableKind ? "ranks" : change.name;
@@ -136,10 +148,11 @@
         return result.status;
     }
     const query_result preview = previewChange(line, options);
-    print(preview, options, out);
     if (preview.status != query_status::ok || preview.differences.empty()) {
+        print(preview, options, out);
         return preview.status;
     }
+    printDifferences(preview, options, out);
     return makeChange(line, preview, options, out);
 }
 
--- a/src/operator/fleet_queries.cpp
+++ b/src/operator/fleet_queries.cpp
@@ -110,7 +110,7 @@
     query_result result = makeAnswer(statusFor(fleet), std::to_string(sum) + " refused; " + answeredPart(fleet));
     result.reach = leastReach(fleet);
     if (result.reach && *result.reach < wanted.span) {
-        result.summary += "; the counts reach back " + secondsText(*result.reach) + " at least one daemon";
+        result.summary += "; at one daemon at least, the counts reach back only " + secondsText(*result.reach);
     }
     result.missing = std::move(fleet.missing);
     result.tables.push_back(std::move(table));
--- a/src/operator/local_answers.cpp
+++ b/src/operator/local_answers.cpp
@@ -128,7 +128,8 @@
                        { "host", "data_center", "service", "limit", "in_use", "waiting", "rank_admitted", "sub_level", "moved_because", "moved_ago_ms" },
                        {} };
     if (const std::optional<gate_snapshot> gate = hooks.gate()) {
-        const std::int64_t movedAgo = hooks.steadyNow().count - gate->limitMovedAt.count;
+        const bool hasMoved = gate->limitMovedAt > clock_ms{};
+        const query_cell movedAgo = hasMoved ? query_cell((hooks.steadyNow() - gate->limitMovedAt).count) : query_cell(std::string());
         table.rows.push_back({ hooks.host,
                                hooks.dataCenter,
                                servedService(hooks),
@@ -138,7 +139,7 @@
                                rankName(hooks, gate->level.rank.value),
                                std::int64_t{ gate->level.subLevel },
                                gate->limitReason,
-                               gate->limitReason.empty() ? std::int64_t{ -1 } : movedAgo });
+                               movedAgo });
     }
     query_result result = makeAnswer(query_status::ok, "limit of " + hooks.host);
     result.tables.push_back(std::move(table));
--- a/src/operator/query_result_text.cpp
+++ b/src/operator/query_result_text.cpp
@@ -91,6 +91,13 @@
 }
 } // namespace
 
+std::string formatDifference(const value_difference &difference)
+{
+    const std::string nothing = "(nothing)";
+    return difference.path + ": " + (difference.before.empty() ? nothing : difference.before) + " -> "
+        + (difference.after.empty() ? nothing : difference.after);
+}
+
 std::string formatResultText(const query_result &result)
 {
     std::string text;
@@ -98,8 +105,7 @@
         appendTable(text, table);
     }
     for (const value_difference &difference : result.differences) {
-        text += difference.path + ": " + (difference.before.empty() ? "(nothing)" : difference.before) + " -> "
-            + (difference.after.empty() ? "(nothing)" : difference.after) + '\n';
+        text += formatDifference(difference) + '\n';
     }
     for (const change_fault &fault : result.faults) {
         text += fault.path + ": " + fault.problem + " (allowed: " + fault.allowed + ")\n";
--- a/src/operator/query_result_type.h
+++ b/src/operator/query_result_type.h
@@ -80,6 +80,9 @@
 /** Reads the JSON form. @throws query_result_error */
 query_result parseResultJson(std::string_view json);
 
+/** Writes a difference in a line, such as `ranks[browse].effort: 10 -> 5`. */
+std::string formatDifference(const value_difference &difference);
+
 /** Writes text for people: tables, then what is missing, then the summary. */
 std::string formatResultText(const query_result &result);
 
--- a/src/policy/policy_json.cpp
+++ b/src/policy/policy_json.cpp
@@ -104,6 +104,13 @@
     }
 }
 
+/** Whole numbers are written as such: 10 in place of 1E1. */
+boost::json::value formatNumber(double number)
+{
+    const auto whole = static_cast<std::int64_t>(number);
+    return static_cast<double>(whole) == number ? boost::json::value(whole) : boost::json::value(number);
+}
+
 boost::json::object formatOperation(const operation_rule &rule)
 {
     boost::json::object json;
@@ -162,7 +169,7 @@
     json["operation_id"] = table.operationId;
     boost::json::array &ranks = json["ranks"].emplace_array();
     for (const rank_rule &rank : table.ranks) {
-        ranks.push_back({ { "name", rank.name }, { "protected", rank.isProtected }, { "effort", rank.effort } });
+        ranks.push_back({ { "name", rank.name }, { "protected", rank.isProtected }, { "effort", formatNumber(rank.effort) } });
     }
     return boost::json::serialize(json);
 }
