--- a/src/operator/fleet_queries.cpp
+++ b/src/operator/fleet_queries.cpp
@@ -132,8 +132,13 @@
     std::string sentence
         = text(host) + " in " + text(data_center) + " refused " + text(service) + '/' + text(operation) + " (rank " + text(rank) + "): " + text(reason);
     if (number(limit) > 0) {
-        sentence += "; its gate had a limit of " + std::to_string(number(limit)) + " calls, " + std::to_string(number(queue))
-            + " waited, and it admitted ranks down to " + text(admitted) + "; the call had waited " + std::to_string(number(waited)) + " ms";
+        sentence += "; its gate had a limit of " + std::to_string(number(limit)) + " calls, " + std::to_string(number(queue)) + " waited, the call had waited "
+            + std::to_string(number(waited)) + " ms, and it admitted ranks down to " + text(admitted);
+    } else if (text(admitted) != "-") {
+        sentence += "; refused early by the levels of the gates ahead, which admitted ranks down to " + text(admitted);
+    }
+    if (text(admitted) != "-" && text(admitted) == text(rank)) {
+        sentence += " and of that rank only a part";
     }
     return sentence;
 }
