--- /dev/null
+++ b/tests/bench/measure_main.cpp
@@ -0,0 +1,65 @@
+/** @file measure_main.cpp Runs one measurement on processes of this machine and prints its figures. */
+
+#include "bench/measure_scenario.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <array>
+#include <exception>
+#include <iostream>
+
+ABSL_FLAG(double, scale, 0.1, "slots of the run over the deployment's own");
+ABSL_FLAG(std::string, examples, "examples", "folder with the policies of both deployments");
+ABSL_FLAG(std::vector<std::string>, deployments, std::vector<std::string>({ "stallgrid", "guild" }), "deployments to run");
+ABSL_FLAG(std::vector<std::string>, modes, std::vector<std::string>({ "full", "no-admission", "direct" }), "the product and its baselines");
+ABSL_FLAG(std::int64_t, phase_ms, 5'000, "length of one phase of load, milliseconds");
+
+using namespace cicadamux::test;
+
+namespace {
+struct scenario_row {
+    std::string_view name;
+    void (*run)(const measure_options &);
+};
+
+constexpr std::array scenarios{ scenario_row{ "added-latency", measureAddedLatency }, scenario_row{ "surge", measureSurge },
+                                scenario_row{ "slow-deep", measureSlowDeep },         scenario_row{ "flood-low", measureFloodLow },
+                                scenario_row{ "flood-high", measureFloodHigh },       scenario_row{ "retry-storm", measureRetryStorm },
+                                scenario_row{ "late-answers", measureLateAnswers } };
+
+int runScenario(std::string_view name)
+{
+    measure_options options;
+    options.scale = absl::GetFlag(FLAGS_scale);
+    options.examples = absl::GetFlag(FLAGS_examples);
+    options.deployments = absl::GetFlag(FLAGS_deployments);
+    options.modes = absl::GetFlag(FLAGS_modes);
+    options.phase = { absl::GetFlag(FLAGS_phase_ms) };
+    for (const scenario_row &row : scenarios) {
+        if (row.name == name) {
+            row.run(options);
+            return 0;
+        }
+    }
+    std::cerr << "no such scenario: " << name << "; there are:";
+    for (const scenario_row &row : scenarios) {
+        std::cerr << " " << row.name;
+    }
+    std::cerr << "\n";
+    return 2;
+}
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("Measures one scenario: measure SCENARIO [flags].");
+    const auto arguments = absl::ParseCommandLine(argc, argv);
+    try {
+        return runScenario(arguments.size() == 2 ? arguments[1] : "");
+    } catch (const std::exception &failure) {
+        std::cerr << "measure: " << failure.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/tests/support/load_base.h
@@ -0,0 +1,29 @@
+/** @file load_base.h An open-loop load generator. */
+
+#pragma once
+
+#include "support/load_type.h"
+
+#include <memory>
+
+namespace cicadamux::test {
+
+/** Sends a mix of requests at fixed mean rates, on threads of its own, and checks each answer's id. */
+class load_run
+{
+public:
+    /** Starts sending at once. */
+    explicit load_run(load_options options);
+    ~load_run();
+    load_run(const load_run &) = delete;
+    load_run &operator=(const load_run &) = delete;
+
+    /** Waits until all has been sent and has ended. */
+    load_result finish();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace cicadamux::test
