--- a/src/operator/fleet_queries.cpp
+++ b/src/operator/fleet_queries.cpp
@@ -110,7 +110,7 @@
     query_result result = makeAnswer(statusFor(fleet), std::to_string(sum) + " refused; " + answeredPart(fleet));
     result.reach = leastReach(fleet);
     if (result.reach && *result.reach < wanted.span) {
-        result.summary += "; the counts reach back " + secondsText(*result.reach) + " at least one daemon";
+        result.summary += "; at one daemon at least, the counts reach back only " + secondsText(*result.reach);
     }
     result.missing = std::move(fleet.missing);
     result.tables.push_back(std::move(table));
@@ -132,8 +132,13 @@
     std::string sentence
         = text(host) + " in " + text(data_center) + " refused " + text(service) + '/' + text(operation) + " (rank " + text(rank) + "): " + text(reason);
     if (number(limit) > 0) {
-        sentence += "; its gate had a limit of " + std::to_string(number(limit)) + " calls, " + std::to_string(number(queue))
-            + " waited, and it admitted ranks down to " + text(admitted) + "; the call had waited " + std::to_string(number(waited)) + " ms";
+        sentence += "; its gate had a limit of " + std::to_string(number(limit)) + " calls, " + std::to_string(number(queue)) + " waited, the call had waited "
+            + std::to_string(number(waited)) + " ms, and it admitted ranks down to " + text(admitted);
+    } else if (text(admitted) != "-") {
+        sentence += "; refused early by the levels of the gates ahead, which admitted ranks down to " + text(admitted);
+    }
+    if (text(admitted) != "-" && text(admitted) == text(rank)) {
+        sentence += " and of that rank only a part";
     }
     return sentence;
 }
