--- a/src/admission/level_board_base.h
+++ b/src/admission/level_board_base.h
@@ -42,6 +42,7 @@
     /**
      * Tells whether lesser work is bound to be refused at one of the services that it passes through.
      * Never refuses protected work, and lets a small part of refused roots through as probes.
+     * Not to be asked for late-ok calls: gates exempt them from their levels.
      */
     early_refusal check(std::span<const std::string> services, rank_id rank, root_id root, bool isProtected, clock_ms now) const;
 
