--- a/src/daemon/call_entry.cpp
+++ b/src/daemon/call_entry.cpp
@@ -147,6 +147,9 @@
     std::vector<std::string> services = entered.passesThrough;
     services.push_back(entered.request.service);
     const call_context &context = entered.request.context;
+    if (context.lateOk) {
+        return {}; // It may wait at the gate, which doesn't refuse it by its level.
+    }
     const early_refusal early = m_core.levels.check(services, context.rank, context.root, context.isProtected, steadyNow());
     if (!early.refused) {
         return {};
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -127,3 +127,44 @@
     CHECK(callHttp(host.local, announcement, { 2'000 }).message.status == 400);
     CHECK(outcomeIn(callWith(host.edge, "pitchdesk", "pay", "id-1", {})) == "answered");
 }
+
+TEST_CASE("a caller that goes away cancels its whole tree")
+{
+    test_fleet fleet(stallOptions());
+    for (const fleet_host &host : fleet.hostsOf("feebox")) {
+        fleet.control(host.backend, { { "fault", "slow" }, { "factor", 500 } });
+    }
+    const auto sumOf = [&fleet](const char *counter) {
+        return fleet.counters(fleet.hosts()[2].backend).at(counter).to_number<int>() + fleet.counters(fleet.hosts()[3].backend).at(counter).to_number<int>();
+    };
+    const int before = sumOf("runs");
+    {
+        raw_socket caller(fleet.hosts()[0].edge);
+        caller.send("POST / HTTP/1.1\r\nHost: h\r\ncicadamux-service: pitchdesk\r\ncicadamux-operation: pay\r\n"
+                    "Content-Length: 13\r\n\r\n{\"id\":\"gone\"}");
+        CHECK(waitUntil([&] { return sumOf("runs") > before; }, { 10'000 }));
+    }
+    CHECK(waitUntil([&] { return sumOf("cancelled") == 1; }, { 4'000 }));
+    CHECK(waitUntil([&] { return metricSum(fleet, "gate_in_use") == 0; }, { 4'000 }));
+    CHECK(violations(fleet) == 0);
+}
+
+TEST_CASE("retries of every layer together stay within the root's allowance")
+{
+    fleet_options options = stallOptions();
+    options.services[0].retries = 5;
+    options.services[1].retries = 5;
+    test_fleet fleet(options);
+    fleet.control(fleet.hosts()[2].backend, { { "fault", "fail" } });
+    fleet.control(fleet.hosts()[3].backend, { { "fault", "fail" } });
+    constexpr int roots = 20;
+    constexpr int allowance = 2; // Of pitchdesk/pay in stallOptions().
+    for (int root = 0; root < roots; ++root) {
+        const std::string id = "root-" + std::to_string(root);
+        callWith(fleet.hosts()[0].edge, "pitchdesk", "pay", id, {});
+        const std::int64_t runs = runsOf(fleet.hosts()[2].backend, "charge", id + "/0") + runsOf(fleet.hosts()[3].backend, "charge", id + "/0");
+        CHECK(runs >= 1);
+        CHECK(runs <= 1 + allowance);
+    }
+    CHECK(violations(fleet) == 0);
+}
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -23,7 +23,7 @@
 }
 
 /** Answers each request with its body. */
-void echo(http_request request, const std::shared_ptr<http_exchange> &exchange)
+void echo(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
     http_response response;
     response.body = request.body;
