--- a/tests/unit/retry_ledger_test.cpp
+++ b/tests/unit/retry_ledger_test.cpp
@@ -7,9 +7,11 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <atomic>
 #include <memory>
 #include <random>
 #include <set>
+#include <thread>
 #include <vector>
 
 using namespace cicadamux;
@@ -192,3 +194,28 @@
     CHECK(ledger.openChild({ 1 }, { 256 }).isRepeat);
     CHECK_FALSE(ledger.openChild({ 1 }, { 257 }).allowed);
 }
+
+TEST_CASE("threads that lend, spend and return share one allowance")
+{
+    constexpr std::uint32_t allowance = 1'000'000;
+    retry_ledger ledger;
+    ledger.open({ 1 }, allowance);
+    std::atomic<std::uint32_t> spent{ 0 };
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (std::uint64_t key = 0; key < 4; ++key) {
+        threads.emplace_back([&, key] {
+            for (int round = 0; round < 50'000; ++round) {
+                const child_grant grant = ledger.openChild({ 1 }, { key });
+                spent += grant.isRepeat && grant.allowed ? 1 : 0;
+                spent += grant.part > 0 ? 1 : 0;
+                ledger.closeChild({ 1 }, grant.part, grant.part > 0 ? grant.part - 1 : 0);
+                spent += ledger.spend({ 1 }) ? 1 : 0;
+            }
+        });
+    }
+    for (std::thread &each : threads) {
+        each.join();
+    }
+    CHECK(spent + ledger.close({ 1 }) == allowance);
+}
