--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -3,6 +3,7 @@
 #include "core/log_func.h"
 #include "daemon/call_headers_func.h"
 #include "daemon/daemon_base.h"
+#include "operator/query_func.h"
 #include "platform/platform_http_func.h"
 
 #include <boost/asio/post.hpp>
@@ -53,6 +54,7 @@
     , m_gateTimer(context)
     , m_housekeepingTimer(context)
     , m_drainTimer(context)
+    , m_refusals(settings.refusalRecords, wallNow())
 {
 }
 
@@ -61,6 +63,7 @@
 void daemon_process::start()
 {
     startFleet();
+    m_operatorHooks = makeOperatorHooks();
     startListeners();
     m_fleet->start();
     gateTick();
@@ -107,7 +110,7 @@
     hooks.call = [this](peer_call call, const std::function<void(peer_reply)> &handler) { return m_gate.handle(std::move(call), handler); };
     hooks.voidTicket = [this](std::string_view text) { return voidTicketHere(m_core, text); };
     hooks.exchange = [this](const exchange_request &request) { return m_fleet->answerExchange(request); };
-    hooks.ask = [](const std::string &, clock_ms, const std::function<void(std::string)> &handler) { handler("{}"); };
+    hooks.ask = [this](const std::string &query, clock_ms, const std::function<void(std::string)> &handler) { handler(answerAsk(query, *m_operatorHooks)); };
     return hooks;
 }
 
@@ -130,9 +133,36 @@
     m_fleet->setServer(after.service, after.state, after.slots);
 }
 
-void daemon_process::gateRefused(const call_request &, const gate_decision &, const gate_snapshot &) { }
+void daemon_process::gateRefused(const call_request &request, const gate_decision &decision, const gate_snapshot &gate)
+{
+    recordRefusal(request, decision.reason, decision.rankAdmitted, &decision, &gate);
+}
+
+void daemon_process::entryRefused(const call_request &request, const refusal_detail &detail)
+{
+    recordRefusal(request, detail.reason, detail.rankAdmitted, nullptr, nullptr);
+}
 
-void daemon_process::entryRefused(const call_request &, const refusal_detail &) { }
+void daemon_process::recordRefusal(
+    const call_request &request, outcome_reason reason, int rankAdmitted, const gate_decision *decision, const gate_snapshot *gate)
+{
+    refusal_record record;
+    record.root = request.context.root;
+    record.service = request.service;
+    record.operation = request.operation;
+    record.callClass = request.context.callClass;
+    record.rank = request.context.rank;
+    record.reason = reason;
+    record.rankAdmitted = rankAdmitted;
+    record.host = m_core.settings.host;
+    record.dataCenter = m_core.settings.dataCenter;
+    if (decision != nullptr && gate != nullptr) {
+        record.waited = decision->waited;
+        record.queueLength = gate->waiting;
+        record.limit = gate->limit;
+    }
+    m_refusals.add(std::move(record), wallNow());
+}
 
 void daemon_process::handleAdmin(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
@@ -148,6 +178,8 @@
     } else if (request.target == "/ready") {
         const bool ready = isReady();
         exchange->respond(makeJsonResponse(ready ? ok : unavailable, ready ? R"({"ready":true})" : R"({"ready":false})"));
+    } else if (request.target == "/query" && request.method == "POST") {
+        handleQuery(request, exchange);
     } else {
         exchange->respond(makeJsonResponse(notFound, R"({"error":"no_such_page"})"));
     }
--- a/tests/unit/admission_gate_test.cpp
+++ b/tests/unit/admission_gate_test.cpp
@@ -1,6 +1,7 @@
 /** @file admission_gate_test.cpp Tests of a gate's order, queue and slots. */
 
 #include "admission/gate_base.h"
+#include "core/invariant_func.h"
 
 #include <doctest/doctest.h>
 
@@ -67,6 +68,7 @@
     subject.submit(makeCall(4, 0, true), clock_ms{ 0 }, decisions);
     REQUIRE(decisionOn(decisions, 2) != nullptr);
     CHECK((decisionOn(decisions, 2)->reason == outcome_reason::overloaded));
+    CHECK(decisionOn(decisions, 2)->rankAdmitted == 2);
     CHECK(decisionOn(decisions, 3) == nullptr);
     subject.submit(makeCall(5, 0, true), clock_ms{ 0 }, decisions);
     REQUIRE(decisionOn(decisions, 5) != nullptr);
@@ -109,3 +111,18 @@
     CHECK(decisions.size() == 1);
     CHECK(subject.snapshot(clock_ms{ 2 }).inUse == 0);
 }
+
+TEST_CASE("a slot given back twice, or never taken, is a violation and changes nothing")
+{
+    gate subject(oneSlot());
+    std::vector<gate_decision> decisions;
+    subject.submit(makeCall(1, 0, true), clock_ms{ 0 }, decisions);
+    subject.submit(makeCall(2, 0, true), clock_ms{ 0 }, decisions);
+    const std::uint64_t before = invariantViolations(invariant::slot_accounting);
+    subject.finish(call_id{ 1 }, work_end::answered, clock_ms{ 1 }, decisions);
+    CHECK(invariantViolations(invariant::slot_accounting) == before);
+    subject.finish(call_id{ 1 }, work_end::answered, clock_ms{ 1 }, decisions);
+    subject.finish(call_id{ 7 }, work_end::answered, clock_ms{ 1 }, decisions);
+    CHECK(invariantViolations(invariant::slot_accounting) == before + 2);
+    CHECK(subject.snapshot(clock_ms{ 1 }).inUse == 1);
+}
