--- a/src/operator/exit_code.cpp
+++ b/src/operator/exit_code.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 constexpr std::array<status_row, 10> rows = { {
-    { query_status::ok, "ok", "Done; a change is in force in every data centre of the view" },
+    { query_status::ok, "ok", "Done; a change is in force in every data centre that is known" },
     { query_status::failed, "failed", "The program failed, such as a daemon that can't bind its address" },
     { query_status::usage, "usage", "The command line or the query wasn't understood; nothing was done" },
     { query_status::refused, "refused", "A check found faults; nothing was written" },
