--- a/tests/bench/measure_overload.cpp
+++ b/tests/bench/measure_overload.cpp
@@ -39,24 +39,46 @@
     line.add("goodput_ratio_2x", goodput(twice) / goodput(atCapacity)).add("goodput_ratio_5x", goodput(five) / goodput(atCapacity));
     line.add("offered_1x", static_cast<double>(atCapacity.total().tried) / atCapacity.seconds);
     line.add("reasons_1x", formatReasons(atCapacity.total().reasons)).add("reasons_5x", formatReasons(five.total().reasons));
-    line.add("not_sent", five.total().notSent).add("wrong_answers", five.total().wrongAnswers).add("cpu_busy", meter.busy());
+    line.add("not_sent", five.total().notSent)
+        .add("wrong_answers", five.total().wrongAnswers)
+        .add("violations", sumGauge(fleet, "violations_"))
+        .add("cpu_busy", meter.busy());
     return line;
 }
 
-/** @return Seconds after `from` until the goodput stays at `wanted` for half a second; minus one if it never does. */
+/** @return Sum of a series' steps, those beyond its end counted as zero. */
+double sumSteps(const std::vector<std::uint32_t> &series, std::size_t from, std::size_t count)
+{
+    double sum = 0;
+    for (std::size_t step = from; step < from + count && step < series.size(); ++step) {
+        sum += series[step];
+    }
+    return sum;
+}
+
+/**
+ * A short burst of answers isn't a recovery: from then on each second has to bring 80% of it, where chance leaves
+ * a second of a few hundred answers well above that.
+ * @return Seconds after `from` until half a second brings the wanted goodput, and it stays up; minus one if it never does.
+ */
 double recoveryOf(const std::vector<std::uint32_t> &series, std::size_t from, std::size_t end, double wantedPerStep, double stepSeconds)
 {
     constexpr std::size_t window = 5; // Steps.
-    for (std::size_t step = from; step + window <= end && step + window <= series.size(); ++step) {
-        double sum = 0;
-        for (std::size_t inner = step; inner < step + window; ++inner) {
-            sum += series[inner];
+    constexpr std::size_t second = 10; // Steps.
+    constexpr double keptPart = 0.8;
+    std::size_t recovered = end;
+    for (std::size_t step = end - second; step + 1 > from; --step) {
+        if (sumSteps(series, step, second) < keptPart * wantedPerStep * second) {
+            break;
+        }
+        if (sumSteps(series, step, window) >= wantedPerStep * window) {
+            recovered = step;
         }
-        if (sum >= wantedPerStep * window) {
-            return static_cast<double>(step - from) * stepSeconds;
+        if (step == from) {
+            break;
         }
     }
-    return -1;
+    return recovered == end ? -1 : static_cast<double>(recovered - from) * stepSeconds;
 }
 
 report_line slowDeepOf(const std::string &name, const std::string &mode, const measure_options &options)
@@ -79,15 +101,9 @@
         fleet.control(host.backend, { { "fault", "slow" }, { "factor", slowFactor }, { "for_ms", slow.count } });
     }
     const load_result result = run.finish();
-    auto series = result.total().series;
+    const auto series = result.total().series;
     const auto steps = [&](clock_ms span) { return static_cast<std::size_t>(span.count / step.count); };
-    const auto sumOf = [&](std::size_t from, std::size_t to) {
-        double sum = 0;
-        for (std::size_t index = from; index < to && index < series.size(); ++index) {
-            sum += series[index];
-        }
-        return sum / static_cast<double>(to - from);
-    };
+    const auto sumOf = [&](std::size_t from, std::size_t to) { return sumSteps(series, from, to - from) / static_cast<double>(to - from); };
     const double usual = sumOf(steps(before) / 2, steps(before));
     const std::size_t slowEnd = steps(before + slow);
     const std::size_t end = slowEnd + steps(after);
@@ -98,7 +114,7 @@
     line.add("slow_s", static_cast<double>(slow.count) / 1'000).add("goodput_before", usual / stepSeconds);
     line.add("goodput_slow", sumOf(steps(before) + 5, slowEnd) / stepSeconds).add("goodput_last_2s", sumOf(end - 20, end) / stepSeconds);
     line.add("reasons", formatReasons(result.total().reasons));
-    line.add("wrong_answers", result.total().wrongAnswers).add("cpu_busy", meter.busy());
+    line.add("wrong_answers", result.total().wrongAnswers).add("violations", sumGauge(fleet, "violations_")).add("cpu_busy", meter.busy());
     return line;
 }
 
