--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -168,3 +168,15 @@
     }
     CHECK(violations(fleet) == 0);
 }
+
+TEST_CASE("a call that one upstream may have run is never said to be not run")
+{
+    test_fleet fleet(stallOptions());
+    fleet.control(fleet.hosts()[0].backend, { { "fault", "no_answer" } });
+    fleet.control(fleet.hosts()[1].backend, { { "fault", "shed" } });
+    for (int round = 0; round < 10; ++round) {
+        const std::string id = "maybe-" + std::to_string(round);
+        CHECK(outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", id, {})).starts_with("unknown"));
+    }
+    CHECK(violations(fleet) == 0);
+}
