Fix: A message whose receiver was silent or died was taken for one never sent

Cause: ClientContext::peer() names the channel's target until the first metadata comes back, not until the message is given to a connection: a call that timed out or whose daemon was killed could be told as 'not run' while it ran. Found by the new unit test of peers. Ruled out: the deadline (resultOfFailure() only looked at it for lost messages); retries of gRPC (off); peer() with an ipv4: target, where all cases look alike. Change: only pick_first's own failure counts as not sent. Channels are read by RCU, and the messages on their way are sharded, so that no lock is shared by all calls. Conclusion: 'not run' holds under silence and kills at the sender too.

--- a/src/peer/peer_client.cpp
+++ b/src/peer/peer_client.cpp
@@ -3,17 +3,20 @@
 #include "peer/peer_client_base.h"
 
 #include "core/invariant_func.h"
+#include "core/rcu_type.h"
 #include "peer/peer_codec_func.h"
 
 #include <grpcpp/grpcpp.h>
 #include <peer.grpc.pb.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <map>
 #include <mutex>
-#include <set>
+#include <unordered_set>
 
 namespace cicadamux {
 
@@ -25,7 +28,6 @@
 /** One peer's channel. */
 struct peer_channel {
     std::unique_ptr<wire::Peer::Stub> stub;
-    std::string target; ///< As gRPC names it while a message has no connection.
     std::atomic<std::int64_t> lastUse{ 0 }; ///< Milliseconds on the monotonic clock.
 };
 
@@ -57,13 +59,29 @@
     arguments.SetMaxReceiveMessageSize(static_cast<int>(maxMessageBytes));
     arguments.SetMaxSendMessageSize(static_cast<int>(maxMessageBytes));
     auto channel = std::make_shared<peer_channel>();
-    channel->target = "dns:///" + address;
-    channel->stub = wire::Peer::NewStub(grpc::CreateCustomChannel(channel->target, grpc::InsecureChannelCredentials(), arguments));
+    const std::string target = (address.starts_with('[') ? "ipv6:" : "ipv4:") + address;
+    channel->stub = wire::Peer::NewStub(grpc::CreateCustomChannel(target, grpc::InsecureChannelCredentials(), arguments));
     return channel;
 }
 
 } // namespace
 
+namespace {
+
+constexpr std::size_t shardCount = 16; ///< Locks of the messages on their way.
+
+using channel_map = std::map<std::string, std::shared_ptr<peer_channel>, std::less<>>;
+
+/** Part of the messages on their way. */
+struct message_shard {
+    std::mutex mutex;
+    std::condition_variable drained;
+    std::unordered_set<std::shared_ptr<peer_pending>> messages;
+    bool stopped = false;
+};
+
+} // namespace
+
 struct peer_client::state {
     explicit state(std::size_t messageBytes)
         : maxMessageBytes(messageBytes)
@@ -72,41 +90,59 @@
 
     std::shared_ptr<peer_channel> channelTo(const std::string &address)
     {
-        const std::lock_guard lock(mutex);
-        auto &channel = channels[address];
-        if (!channel) {
-            channel = openChannel(address, maxMessageBytes);
+        const auto known = channels.load();
+        const auto found = known->find(address);
+        const auto channel = found == known->end() ? addChannel(address) : found->second;
+        channel->lastUse.store(steadyNow().count, std::memory_order_relaxed);
+        return channel;
+    }
+
+    std::shared_ptr<peer_channel> addChannel(const std::string &address)
+    {
+        const std::lock_guard lock(channelsMutex);
+        const auto known = channels.load();
+        const auto found = known->find(address);
+        if (found != known->end()) {
+            return found->second;
         }
-        channel->lastUse = steadyNow().count;
+        const auto channel = openChannel(address, maxMessageBytes);
+        auto extended = std::make_shared<channel_map>(*known);
+        extended->emplace(address, channel);
+        channels.publish(std::move(extended));
         return channel;
     }
 
+    message_shard &shardOf(const std::shared_ptr<peer_pending> &pending)
+    {
+        return shards.at(std::hash<std::shared_ptr<peer_pending>>{}(pending) / alignof(std::max_align_t) % shardCount);
+    }
+
     /** Counts a message as being on its way. @return False if the client is stopped. */
     bool begin(const std::shared_ptr<peer_pending> &pending)
     {
-        const std::lock_guard lock(mutex);
-        if (stopped) {
+        message_shard &shard = shardOf(pending);
+        const std::lock_guard lock(shard.mutex);
+        if (shard.stopped) {
             return false;
         }
-        onTheirWay.insert(pending);
+        shard.messages.insert(pending);
         return true;
     }
 
     void end(const std::shared_ptr<peer_pending> &pending)
     {
-        const std::lock_guard lock(mutex);
-        onTheirWay.erase(pending);
-        if (onTheirWay.empty()) {
-            drained.notify_all();
+        message_shard &shard = shardOf(pending);
+        const std::lock_guard lock(shard.mutex);
+        shard.messages.erase(pending);
+        if (shard.messages.empty()) {
+            shard.drained.notify_all();
         }
     }
 
     std::size_t maxMessageBytes;
-    std::mutex mutex;
-    std::condition_variable drained;
-    std::map<std::string, std::shared_ptr<peer_channel>> channels;
-    std::set<std::shared_ptr<peer_pending>> onTheirWay;
-    bool stopped = false;
+    rcu_snapshot<channel_map> channels;
+    std::mutex channelsMutex; ///< Serializes changes of `channels`.
+    std::array<message_shard, shardCount> shards;
 };
 
 namespace {
@@ -123,18 +159,19 @@
 }
 
 /**
- * Tells whether a failed message has surely never left this host: gRPC names the connection's address (`ipv4:…`) once a message
- * has been given to a connection, and the channel's target (`dns:///…`) until then.
+ * Tells whether a failed message has surely never left this host. gRPC has no status of its own for that; its pick_first policy
+ * fails a message with this text, and only a message that it has given to no connection.
  */
-bool neverLeft(const grpc::ClientContext &context, const peer_channel &channel)
+bool neverLeft(const grpc::Status &status)
 {
-    return context.peer() == channel.target;
+    constexpr std::string_view noConnection = "failed to connect to all addresses";
+    return status.error_code() == grpc::StatusCode::UNAVAILABLE && std::string_view(status.error_message()).starts_with(noConnection);
 }
 
 void finishCall(const grpc::Status &status, message<wire::Call_Request, wire::Call_Reply> &sent, const peer_reply_handler &handler)
 {
     if (!status.ok()) {
-        handler(neverLeft(sent.context, *sent.channel) ? peer_failure::not_sent : peer_failure::lost, {});
+        handler(neverLeft(status) ? peer_failure::not_sent : peer_failure::lost, {});
         return;
     }
     try {
@@ -231,25 +268,34 @@
 
 void peer_client::dropUnused(clock_ms now)
 {
-    const std::lock_guard lock(m_state->mutex);
-    std::erase_if(m_state->channels, [now](const auto &known) { return now.count - known.second->lastUse > unusedChannelLife; });
+    const auto isUnused = [now](const auto &known) { return now.count - known.second->lastUse.load(std::memory_order_relaxed) > unusedChannelLife; };
+    const std::lock_guard lock(m_state->channelsMutex);
+    const auto known = m_state->channels.load();
+    if (std::ranges::none_of(*known, isUnused)) {
+        return;
+    }
+    auto kept = std::make_shared<channel_map>(*known);
+    std::erase_if(*kept, isUnused);
+    m_state->channels.publish(std::move(kept));
 }
 
 void peer_client::stop()
 {
-    std::unique_lock lock(m_state->mutex);
-    m_state->stopped = true;
-    for (const auto &pending : m_state->onTheirWay) {
-        pending->cancel();
+    for (message_shard &shard : m_state->shards) {
+        std::unique_lock lock(shard.mutex);
+        shard.stopped = true;
+        for (const auto &pending : shard.messages) {
+            pending->cancel();
+        }
+        shard.drained.wait(lock, [&shard] { return shard.messages.empty(); });
     }
-    m_state->drained.wait(lock, [this] { return m_state->onTheirWay.empty(); });
-    m_state->channels.clear();
+    const std::lock_guard lock(m_state->channelsMutex);
+    m_state->channels.publish(std::make_shared<const channel_map>());
 }
 
 std::size_t peer_client::channels() const
 {
-    const std::lock_guard lock(m_state->mutex);
-    return m_state->channels.size();
+    return m_state->channels.load()->size();
 }
 
 } // namespace cicadamux
--- /dev/null
+++ b/tests/unit/peer_test.cpp
@@ -0,0 +1,191 @@
+/** @file peer_test.cpp Messages between daemons: what was surely not sent, what is lost, and what isn't a message. */
+
+#include "http/http_server_base.h"
+#include "peer/peer_client_base.h"
+#include "peer/peer_codec_func.h"
+#include "peer/peer_server_base.h"
+#include "support/raw_socket_base.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+#include <random>
+#include <thread>
+
+using namespace cicadamux;
+using namespace cicadamux::test;
+
+namespace {
+
+constexpr std::size_t messageBytes = 1'000'000;
+constexpr clock_ms timeLimit{ 500 };
+
+peer_call someCall()
+{
+    peer_call call;
+    call.attempt = call_id{ 7 };
+    call.request.context.root = root_id{ 9 };
+    call.request.context.rank = rank_id{ 1 };
+    call.request.context.callClass = "browse";
+    call.request.context.deadline = steadyNow() + clock_ms{ 1'000 };
+    call.request.service = "mapview";
+    call.request.operation = "browse";
+    call.request.method = "GET";
+    call.request.target = "/";
+    call.request.headers = { { "accept", "text/html" } };
+    call.request.body = "body";
+    return call;
+}
+
+/** Calls an address. @return How it ended, and what came back. */
+std::pair<peer_failure, peer_reply> callOnce(const std::string &address)
+{
+    peer_client client(messageBytes);
+    std::promise<std::pair<peer_failure, peer_reply>> ended;
+    client.call(address, someCall(), timeLimit, [&ended](peer_failure failure, peer_reply reply) { ended.set_value({ failure, std::move(reply) }); });
+    return ended.get_future().get();
+}
+
+/** Runs a peer listener that replies to each call as it is told. */
+class replying_server
+{
+public:
+    explicit replying_server(std::function<void(peer_call, std::function<void(peer_reply)>)> reply)
+        : m_address(unusedAddress())
+        , m_server(m_address, messageBytes, hooksFor(std::move(reply)))
+    {
+    }
+
+    const std::string &address() const
+    {
+        return m_address;
+    }
+
+private:
+    static peer_server_hooks hooksFor(std::function<void(peer_call, std::function<void(peer_reply)>)> reply)
+    {
+        peer_server_hooks hooks;
+        hooks.call = [reply = std::move(reply)](peer_call call, std::function<void(peer_reply)> handler) {
+            reply(std::move(call), std::move(handler));
+            return std::function<void()>();
+        };
+        return hooks;
+    }
+
+    std::string m_address;
+    peer_server m_server;
+};
+
+} // namespace
+
+TEST_CASE("a message to a host that isn't there is surely not sent, one without a reply is lost")
+{
+    CHECK(callOnce(unusedAddress()).first == peer_failure::not_sent);
+
+    std::function<void(peer_reply)> kept;
+    replying_server silent([&kept](const peer_call &call, std::function<void(peer_reply)> handler) {
+        kept = [handler = std::move(handler), attempt = call.attempt](peer_reply reply) {
+            reply.attempt = attempt;
+            handler(std::move(reply));
+        };
+    });
+    CHECK(callOnce(silent.address()).first == peer_failure::lost);
+    kept({});
+}
+
+TEST_CASE("a message whose receiver ends while it works on it is lost")
+{
+    std::promise<void> received;
+    std::function<void(peer_reply)> kept;
+    auto server = std::make_unique<replying_server>([&](const peer_call &, std::function<void(peer_reply)> handler) {
+        kept = std::move(handler);
+        received.set_value();
+    });
+    peer_client client(messageBytes);
+    std::promise<peer_failure> ended;
+    client.call(server->address(), someCall(), clock_ms{ 5'000 }, [&ended](peer_failure failure, const peer_reply &) { ended.set_value(failure); });
+    received.get_future().wait();
+    std::thread stopping([&server] { server.reset(); });
+    CHECK(ended.get_future().get() == peer_failure::lost);
+    kept({});
+    stopping.join();
+}
+
+TEST_CASE("a reply to another attempt isn't a reply")
+{
+    replying_server confused([](const peer_call &, const std::function<void(peer_reply)> &handler) {
+        peer_reply reply;
+        reply.attempt = call_id{ 8 };
+        reply.result.outcome = call_outcome::answered;
+        handler(std::move(reply));
+    });
+    CHECK(callOnce(confused.address()).first == peer_failure::lost);
+
+    replying_server right([](const peer_call &call, const std::function<void(peer_reply)> &handler) {
+        peer_reply reply;
+        reply.attempt = call.attempt;
+        reply.result.outcome = call_outcome::answered;
+        reply.result.body = call.request.body;
+        handler(std::move(reply));
+    });
+    const auto ended = callOnce(right.address());
+    CHECK(ended.first == peer_failure::none);
+    CHECK(ended.second.result.body == "body");
+}
+
+TEST_CASE("a call survives its message")
+{
+    const peer_call call = someCall();
+    const clock_ms now = steadyNow();
+    const peer_call decoded = decodeCall(encodeCall(call, now), now);
+    CHECK(decoded.attempt == call.attempt);
+    CHECK(decoded.request.context.deadline == call.request.context.deadline);
+    CHECK(decoded.request.body == call.request.body);
+    CHECK(decoded.request.headers.at(0).value == "text/html");
+}
+
+TEST_CASE("messages out of range are typed errors")
+{
+    const clock_ms now = steadyNow();
+    const auto broken = [now](const std::function<void(wire::Call_Request &)> &change) {
+        wire::Call_Request message = encodeCall(someCall(), now);
+        change(message);
+        CHECK_THROWS_AS(decodeCall(message, now), peer_format_error);
+    };
+    broken([](auto &message) { message.set_rank(255); });
+    broken([](auto &message) { message.set_depth(200); });
+    broken([](auto &message) { message.set_retry_allowance(1'000'000); });
+    broken([](auto &message) { message.set_root(0); });
+    broken([](auto &message) { message.set_attempt(0); });
+    wire::Call_Reply reply;
+    reply.set_outcome(77);
+    CHECK_THROWS_AS(decodeReply(std::move(reply)), peer_format_error);
+    wire::Call_Reply liar; // Says not run with a reason that means unknown.
+    liar.set_outcome(static_cast<std::uint32_t>(call_outcome::not_run));
+    liar.set_reason(static_cast<std::uint32_t>(outcome_reason::connection_lost));
+    CHECK_THROWS_AS(decodeReply(std::move(liar)), peer_format_error);
+}
+
+TEST_CASE("mutated messages decode or are typed errors and nothing else")
+{
+    const clock_ms now = steadyNow();
+    const std::string original = encodeCall(someCall(), now).SerializeAsString();
+    std::mt19937_64 random(1);
+    for (int round = 0; round < 20'000; ++round) {
+        CAPTURE(round);
+        std::string bytes = original;
+        for (std::uint64_t change = random() % 4 + 1; change > 0; --change) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        wire::Call_Request message;
+        if (!message.ParseFromString(bytes)) {
+            continue;
+        }
+        try {
+            const peer_call decoded = decodeCall(message, now);
+            CHECK(decoded.request.context.rank.value < maxRanks);
+        } catch (const peer_format_error &) {
+            continue;
+        }
+    }
+}
