Fix: The daemon tells queries which data centres there are; a query never ends the daemon

The hook dataCenters came after the daemon's wiring had been written, and an empty std::function throws. A test takes the hook away.

--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -10,6 +10,7 @@
 #include "daemon/upstream_list_base.h"
 #include "fleet/fleet_base.h"
 #include "http/http_server_base.h"
+#include "operator/data_center_memory_base.h"
 #include "operator/operator_hooks_type.h"
 #include "operator/refusal_log_base.h"
 #include "peer/peer_server_base.h"
@@ -88,6 +89,7 @@
     boost::asio::steady_timer m_drainTimer;
     std::atomic<bool> m_ended{ false };
     refusal_log m_refusals;
+    data_center_memory m_dataCenters; ///< Of all views so far.
     std::shared_ptr<const operator_hooks> m_operatorHooks;
     std::mutex m_viewMutex; ///< Serializes viewChanged().
     upstream_list m_upstreams;
--- a/src/daemon/daemon_operator.cpp
+++ b/src/daemon/daemon_operator.cpp
@@ -45,6 +45,7 @@
 void daemon_process::fillStateHooks(operator_hooks &hooks)
 {
     hooks.view = [this] { return m_fleet->view(); };
+    hooks.dataCenters = [this] { return m_dataCenters.names(steadyNow()); };
     hooks.upstreams = [this] { return m_core.routes.states(steadyNow()); };
     hooks.gate = [this]() -> std::optional<gate_snapshot> {
         if (m_backend.current()->state == server_state::absent) {
--- a/src/operator/query.cpp
+++ b/src/operator/query.cpp
@@ -8,6 +8,9 @@
 
 #include <boost/json.hpp>
 
+#include <atomic>
+#include <exception>
+
 namespace cicadamux {
 
 namespace {
@@ -20,6 +23,17 @@
     return result;
 }
 
+/** Drops every answer after the first. */
+query_handler answerOnce(query_handler handler)
+{
+    const auto isAnswered = std::make_shared<std::atomic<bool>>(false);
+    return [isAnswered, handler = std::move(handler)](std::string json) {
+        if (!isAnswered->exchange(true)) {
+            handler(std::move(json));
+        }
+    };
+}
+
 /** Starts each kind of command. */
 struct command_starter {
     query_run run;
@@ -121,7 +135,7 @@
 
 void runQuery(std::string_view text, std::shared_ptr<const operator_hooks> hooks, query_handler handler)
 {
-    query_run run{ std::move(hooks), std::string(text), std::move(handler) };
+    query_run run{ std::move(hooks), std::string(text), answerOnce(std::move(handler)) };
     command parsed;
     try {
         parsed = parseCommand(text);
@@ -129,7 +143,13 @@
         run.finish(notUnderstood(wrong));
         return;
     }
-    std::visit(command_starter{ std::move(run) }, parsed);
+    const query_handler answer = run.handler;
+    try {
+        std::visit(command_starter{ std::move(run) }, parsed);
+    } catch (const std::exception &failed) { // A query never ends the daemon.
+        logEvent(log_level::error, "query_failed", { { "error", failed.what() } });
+        answer(formatResultJson(makeAnswer(query_status::failed, std::string("the daemon couldn't answer: ") + failed.what())));
+    }
 }
 
 void runQueryBody(std::string_view body, std::shared_ptr<const operator_hooks> hooks, query_handler handler)
--- a/tests/unit/operator_fleet_test.cpp
+++ b/tests/unit/operator_fleet_test.cpp
@@ -169,6 +169,15 @@
     CHECK_THROWS_AS(parseResultJson(R"({"status":7})"), query_result_error);
 }
 
+TEST_CASE_FIXTURE(fleet_fixture, "a hook that throws ends in a failed answer, not in the daemon's end")
+{
+    const auto hooks = fleet.hooksOf("host-0");
+    hooks->dataCenters = nullptr;
+    std::string answer;
+    runQuery("show in-force ranks", hooks, [&answer](std::string json) { answer = std::move(json); });
+    CHECK(is(parseResultJson(answer), query_status::failed));
+}
+
 TEST_CASE_FIXTURE(fleet_fixture, "a malformed body is answered as a query that isn't understood")
 {
     for (const std::string body : { "", "[]", "{}", R"({"query":1})", R"({"query":"help","more":1})" }) {
