Fix: tools/prove.sh counts a failure only if the test passes without the mutation

Cause: the scratch copy had no stand-ins, so that process tests failed whatever was switched off: daemon_may_have_run was reported as seen without proof.

--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Shows that a test sees the fault it is meant for: switches off one mechanism at a time in a scratch copy, and expects the test to fail.
+# Shows that a test sees the fault it is meant for: in a scratch copy the test has to pass, and then to fail with one mechanism switched off.
 # Usage: tools/prove.sh [NAME...]    The mechanisms stand in tests/mutations.txt, a line each:
 #   name | file | sed expression that switches it off | test program | test case filter
-# Prints for each: mutation=NAME test="..." seen_failing=yes|no|not_applied|not_built
+# Prints for each: mutation=NAME test="..." seen_failing=yes|no|not_applied|not_built|fails_without_it
 set -uo pipefail
 cd "$(dirname "$0")/.."
 scratch=$(mktemp -d)
@@ -11,6 +11,9 @@
 git ls-files --cached --others --exclude-standard | tar -cf - -T - | tar -xf - -C "$scratch/tree"
 cmake -S "$scratch/tree" -B "$scratch/build" -G Ninja >/dev/null || exit 2
 result=0
+build_tests() {
+    ninja -C "$scratch/build" "$1" cicadamux platform_standin backend_standin >"$scratch/log" 2>&1
+}
 while IFS='|' read -r name file expression program filter; do
     name=$(xargs <<<"$name")
     case "$name" in ''|'#'*) continue ;; esac
@@ -20,10 +23,15 @@
     filter=$(sed 's/^ *//; s/ *$//' <<<"$filter")
     expression=$(sed 's/^ *//; s/ *$//' <<<"$expression")
     cp "$scratch/tree/$file" "$scratch/original"
+    if ! build_tests "$program" || ! "$scratch/build/tests/$program" --test-case="$filter" >"$scratch/log" 2>&1; then
+        result=1
+        echo "mutation=$name test=\"$filter\" seen_failing=fails_without_it"
+        continue
+    fi
     sed -i -E "$expression" "$scratch/tree/$file"
     if cmp -s "$scratch/original" "$scratch/tree/$file"; then
         seen=not_applied
-    elif ! ninja -C "$scratch/build" "$program" cicadamux >"$scratch/log" 2>&1; then
+    elif ! build_tests "$program"; then
         seen=not_built
         tail -5 "$scratch/log"
     elif "$scratch/build/tests/$program" --test-case="$filter" >"$scratch/log" 2>&1; then
