Fix: 'not run' of a ticketed call is settled at the ticket's home; a shed call gives back only what is left

Cause: (1) a repeat under a ticket could hear 'not run' from a daemon that isn't its home while an earlier attempt had run; (2) a refused ticket stayed usable for an attempt still on its way; (3) a shed call gave back its whole allowance, also what its children had spent; (4) an attempt carried half of the allowance, which an unknown answer then lost. Refusals that no gate recorded are recorded where they entered. Ruled out: saying unknown for every refusal of a ticketed call (holds refused by rank would never be sure).

--- a/src/daemon/call_entry.cpp
+++ b/src/daemon/call_entry.cpp
@@ -67,19 +67,20 @@
     entered->request.context.root = root_id{ secureRandom() | 1U };
     const outcome_reason reason = resolve(*entered, std::move(request));
     if (reason != outcome_reason::none) {
-        refuse(*entered, reason);
+        refuse(entered, reason);
         return;
     }
     const refusal_detail early = refuseEarly(*entered);
     if (early.reason != outcome_reason::none) {
-        refuse(*entered, early);
+        refuse(entered, early);
         return;
     }
     run(entered, [this, entered](call_result result) {
         if (result.outcome != call_outcome::answered) {
             m_core.callers.noteUnanswered(entered->caller, entered->requestHash, steadyNow());
+            recordUnanswered(entered->request, result.detail);
         }
-        respond(*entered, std::move(result));
+        answer(entered, std::move(result));
     });
 }
 
@@ -117,6 +118,7 @@
     context.deadline = steadyNow() + (rule.lateOk ? rule.lateLimit : headers.deadline.value_or(rule.deadline));
     context.retryAllowance = rule.retries;
     entered.passesThrough = rule.passesThrough;
+    call.callsOthers = !rule.passesThrough.empty();
     if (call.atMostOnce && call.ticket.empty()) {
         return outcome_reason::ticket_required;
     }
@@ -170,7 +172,7 @@
         reason = inherit(*entered, contextText);
     }
     if (reason != outcome_reason::none) {
-        refuse(*entered, reason);
+        refuse(entered, reason);
         return;
     }
     runChild(entered);
@@ -203,14 +205,17 @@
     const child_key key = makeChildKey(request.service, request.operation, request.method, request.target, request.body);
     const child_grant grant = m_core.ledger.openChild(entered->parent, key);
     if (!grant.allowed) {
-        refuse(*entered, outcome_reason::retries_exhausted);
+        refuse(entered, outcome_reason::retries_exhausted);
         return;
     }
     entered->request.context.retryAllowance = grant.part;
     run(entered, [this, entered, part = grant.part](call_result result) {
         m_core.ledger.closeChild(entered->parent, part, result.retriesUnspent);
         m_core.held.removeChild(entered->parent, entered->id);
-        respond(*entered, std::move(result));
+        if (result.outcome != call_outcome::answered) {
+            recordUnanswered(entered->request, result.detail);
+        }
+        answer(entered, std::move(result));
     });
 }
 
@@ -223,6 +228,39 @@
     }
 }
 
+void call_entry::answer(const std::shared_ptr<entered_call> &entered, call_result result)
+{
+    const call_request &request = entered->request;
+    const bool isSure = !request.atMostOnce || result.outcome != call_outcome::not_run || isSettled(request, result.detail);
+    if (isSure) {
+        respond(*entered, std::move(result));
+        return;
+    }
+    // An earlier attempt under the same ticket may have run: only the ticket's home can tell.
+    settleTicket(request.ticket, [this, entered, result = std::move(result)](bool voided) mutable {
+        if (!voided) {
+            result = makeRefused(refusalHere(m_core, outcome_reason::ticket_home_gone, entered->request.service, entered->request.operation), 0);
+        }
+        respond(*entered, std::move(result));
+    });
+}
+
+bool call_entry::isSettled(const call_request &request, const refusal_detail &detail) const
+{
+    switch (detail.reason) {
+    case outcome_reason::ticket_required:
+    case outcome_reason::ticket_invalid:
+        return true; // There is no ticket that could have run.
+    case outcome_reason::overloaded:
+    case outcome_reason::queue_timeout:
+    case outcome_reason::shed:
+    case outcome_reason::ticket_expired:
+        return isHomeOf(request.ticket, detail.host);
+    default:
+        return false;
+    }
+}
+
 void call_entry::respond(const entered_call &entered, call_result result)
 {
     const call_request &request = entered.request;
@@ -239,15 +277,23 @@
     entered.exchange->respond(makeCallResponse(std::move(result), request.context.root, request.context.rank));
 }
 
-void call_entry::refuse(const entered_call &entered, outcome_reason reason)
+void call_entry::refuse(const std::shared_ptr<entered_call> &entered, outcome_reason reason)
 {
-    refuse(entered, refusalHere(m_core, reason, entered.request.service, entered.request.operation));
+    refuse(entered, refusalHere(m_core, reason, entered->request.service, entered->request.operation));
 }
 
-void call_entry::refuse(const entered_call &entered, const refusal_detail &detail)
+void call_entry::refuse(const std::shared_ptr<entered_call> &entered, const refusal_detail &detail)
 {
-    m_refused(entered.request, detail);
-    respond(entered, makeRefused(detail, entered.request.context.retryAllowance));
+    m_refused(entered->request, detail);
+    answer(entered, makeRefused(detail, entered->request.context.retryAllowance));
+}
+
+void call_entry::recordUnanswered(const call_request &request, const refusal_detail &detail)
+{
+    const bool gateHasRecord = detail.reason == outcome_reason::overloaded || detail.reason == outcome_reason::queue_timeout;
+    if (!gateHasRecord) {
+        m_refused(request, detail);
+    }
 }
 
 } // namespace cicadamux
--- a/src/daemon/call_entry_base.h
+++ b/src/daemon/call_entry_base.h
@@ -42,8 +42,13 @@
     void run(const std::shared_ptr<entered_call> &entered, std::function<void(call_result)> ended);
     void runChild(const std::shared_ptr<entered_call> &entered);
     void respond(const entered_call &entered, call_result result);
-    void refuse(const entered_call &entered, outcome_reason reason);
-    void refuse(const entered_call &entered, const refusal_detail &detail);
+    void refuse(const std::shared_ptr<entered_call> &entered, outcome_reason reason);
+    void refuse(const std::shared_ptr<entered_call> &entered, const refusal_detail &detail);
+    void recordUnanswered(const call_request &request, const refusal_detail &detail);
+    void answer(const std::shared_ptr<entered_call> &entered, call_result result);
+    bool isSettled(const call_request &request, const refusal_detail &detail) const;
+    bool isHomeOf(std::string_view ticketText, std::string_view host) const;
+    void settleTicket(std::string_view ticketText, std::function<void(bool voided)> settled);
     void handleAnnouncement(const http_request &request, http_exchange &exchange);
     void handleTicket(const http_request &request, http_exchange &exchange);
     void handleVoid(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -58,7 +58,7 @@
     void viewChanged(const std::vector<member_record> &view);
     void backendChanged(const backend_server &before, const backend_server &after);
     void gateRefused(const call_request &request, const gate_decision &decision, const gate_snapshot &gate);
-    void recordRefusal(const call_request &request, outcome_reason reason, int rankAdmitted, const gate_decision *decision, const gate_snapshot *gate);
+    void recordRefusal(const call_request &request, const refusal_detail &detail, const gate_decision *decision, const gate_snapshot *gate);
     void entryRefused(const call_request &request, const refusal_detail &detail);
     void handleAdmin(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
     void handleQuery(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -136,16 +136,17 @@
 
 void daemon_process::gateRefused(const call_request &request, const gate_decision &decision, const gate_snapshot &gate)
 {
-    recordRefusal(request, decision.reason, decision.rankAdmitted, &decision, &gate);
+    refusal_detail detail = refusalHere(m_core, decision.reason, request.service, request.operation);
+    detail.rankAdmitted = decision.rankAdmitted;
+    recordRefusal(request, detail, &decision, &gate);
 }
 
 void daemon_process::entryRefused(const call_request &request, const refusal_detail &detail)
 {
-    recordRefusal(request, detail.reason, detail.rankAdmitted, nullptr, nullptr);
+    recordRefusal(request, detail, nullptr, nullptr);
 }
 
-void daemon_process::recordRefusal(
-    const call_request &request, outcome_reason reason, int rankAdmitted, const gate_decision *decision, const gate_snapshot *gate)
+void daemon_process::recordRefusal(const call_request &request, const refusal_detail &detail, const gate_decision *decision, const gate_snapshot *gate)
 {
     refusal_record record;
     record.root = request.context.root;
@@ -153,10 +154,10 @@
     record.operation = request.operation;
     record.callClass = request.context.callClass;
     record.rank = request.context.rank;
-    record.reason = reason;
-    record.rankAdmitted = rankAdmitted;
-    record.host = m_core.settings.host;
-    record.dataCenter = m_core.settings.dataCenter;
+    record.reason = detail.reason;
+    record.rankAdmitted = detail.rankAdmitted;
+    record.host = detail.host;
+    record.dataCenter = detail.dataCenter;
     if (decision != nullptr && gate != nullptr) {
         record.waited = decision->waited;
         record.queueLength = gate->waiting;
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -66,7 +66,9 @@
     /** Takes from the ledger what the next attempt may carry along. @return False if no attempt is left. */
     bool borrowPart()
     {
-        const child_grant grant = m_core.ledger.openChild(m_id, m_key);
+        // An attempt at a service that calls no other leaves the allowance here: it would be lost with the answer.
+        const lent_part lent = m_request.callsOthers ? lent_part::all : lent_part::none;
+        const child_grant grant = m_core.ledger.openChild(m_id, m_key, lent);
         m_part = grant.part;
         return grant.allowed;
     }
@@ -213,11 +215,15 @@
 
     void notRun(call_result result)
     {
+        // A shed call's children may have spent some of the part.
+        const std::uint32_t unspent = std::min(result.retriesUnspent, m_part);
         if (!mayTryElsewhere(result.detail.reason)) {
-            m_core.ledger.closeChild(m_id, m_part, m_part);
+            m_core.ledger.closeChild(m_id, m_part, unspent);
             finish(std::move(result));
             return;
         }
+        m_core.ledger.closeChild(m_id, m_part - unspent, 0);
+        m_part = unspent;
         --m_elsewhereLeft;
         m_last = std::move(result.detail);
         again();
--- a/src/daemon/entry_control.cpp
+++ b/src/daemon/entry_control.cpp
@@ -103,23 +103,43 @@
 void call_entry::handleVoid(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
     const std::string text(findHeader(request.headers, "cicadamux-ticket").value_or(""));
-    ticket subject;
     try {
-        subject = decodeTicket(text, m_core.settings.fleetKey);
+        decodeTicket(text, m_core.settings.fleetKey);
     } catch (const ticket_error &failure) {
         exchange->respond(makeError(badRequest, toString(failure.reason()), failure.what()));
         return;
     }
+    settleTicket(text, [exchange](bool voided) { exchange->respond(makeVoidResponse(voided)); });
+}
+
+void call_entry::settleTicket(std::string_view ticketText, std::function<void(bool voided)> settled)
+{
+    ticket subject;
+    try {
+        subject = decodeTicket(ticketText, m_core.settings.fleetKey);
+    } catch (const ticket_error &) {
+        settled(true); // Not a ticket: nothing can have run by it.
+        return;
+    }
     if (subject.homeHost == m_core.settings.host) {
-        exchange->respond(makeVoidResponse(m_core.tickets.voidTicket(subject, wallNow())));
+        settled(m_core.tickets.voidTicket(subject, wallNow()));
         return;
     }
     const auto home = m_core.routes.find(subject.service, subject.homeHost);
     if (!home) {
-        exchange->respond(makeVoidResponse(false));
+        settled(false);
         return;
     }
-    m_core.peers.voidTicket(home->peerAddress, text, clock_ms{ voidTimeout }, [exchange](bool voided) { exchange->respond(makeVoidResponse(voided)); });
+    m_core.peers.voidTicket(home->peerAddress, ticketText, clock_ms{ voidTimeout }, std::move(settled));
+}
+
+bool call_entry::isHomeOf(std::string_view ticketText, std::string_view host) const
+{
+    try {
+        return decodeTicket(ticketText, m_core.settings.fleetKey).homeHost == host;
+    } catch (const ticket_error &) {
+        return false;
+    }
 }
 
 } // namespace cicadamux
--- a/src/daemon/gated_call.cpp
+++ b/src/daemon/gated_call.cpp
@@ -97,6 +97,7 @@
     }
     m_core.held.add(m_call.attempt, m_call.request.context);
     m_core.ledger.open(m_call.attempt, m_call.request.context.retryAllowance);
+    m_ledgerOpen = true;
     armDeadline();
     auto pending = server->client->send(forwardedRequest(), [self = shared_from_this()](http_result result) { self->answered(std::move(result)); });
     const std::lock_guard lock(m_mutex);
@@ -280,7 +281,7 @@
     }
     const auto kept = std::make_shared<const call_result>(result);
     if (result.outcome == call_outcome::not_run) {
-        m_core.tickets.notRun(*m_ticket, kept);
+        m_core.tickets.refuse(*m_ticket, kept);
     } else {
         m_core.tickets.finish(*m_ticket, kept);
     }
@@ -297,9 +298,8 @@
         return;
     }
     m_core.held.remove(m_call.attempt);
-    const bool wasSent = result.outcome != call_outcome::not_run;
     const std::uint32_t left = m_core.ledger.close(m_call.attempt);
-    result.retriesUnspent = wasSent ? left : m_call.request.context.retryAllowance;
+    result.retriesUnspent = m_ledgerOpen ? left : m_call.request.context.retryAllowance;
     peer_reply answer;
     answer.attempt = m_call.attempt;
     answer.result = std::move(result);
--- a/src/daemon/gated_call_base.h
+++ b/src/daemon/gated_call_base.h
@@ -81,6 +81,7 @@
     const peer_call m_call;
     const gated_call_hooks &m_hooks;
     std::optional<ticket> m_ticket;
+    bool m_ledgerOpen = false; ///< Set before the call is sent: the ledger knows what is left.
     boost::asio::steady_timer m_timer; ///< The deadline, then the repetition of a cancellation.
 
     std::mutex m_mutex; ///< Guards what follows.
--- a/src/request/call_type.h
+++ b/src/request/call_type.h
@@ -39,6 +39,7 @@
     std::string service;
     std::string operation;
     bool atMostOnce = false;
+    bool callsOthers = false; ///< The policy says that it passes through other services. Not sent to peers.
     std::string ticket; ///< Encoded; empty for operations that aren't at-most-once.
     std::string method;
     std::string target;
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -45,7 +45,7 @@
     std::uint32_t attemptsElsewhere = 2; ///< Further upstreams tried after a sure `not run`.
     std::uint32_t subsetSize = 16; ///< Upstreams of one service that this daemon connects to.
     clock_ms slowStart{ 5'000 }; ///< Time in which a cold upstream gets its full share.
-    std::size_t ticketCapacity = 200'000; ///< Tickets remembered.
+    std::size_t ticketCapacity = 20'000; ///< Tickets remembered.
     std::size_t refusalRecords = 4'096; ///< Refusals remembered for operators.
 
     gate_settings gate;
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace cicadamux;
 using namespace cicadamux::test;
 
@@ -180,3 +182,37 @@
     }
     CHECK(violations(fleet) == 0);
 }
+
+TEST_CASE("a ticket that may have run elsewhere is never said to be not run")
+{
+    test_fleet fleet(stallOptions());
+    const fleet_host &home = fleet.hosts()[0];
+    call_extras extras;
+    extras.ticket = takeTicket(home.edge, "pitchdesk", "hold");
+    for (const fleet_host &host : fleet.hostsOf("pitchdesk")) {
+        fleet.control(host.backend, { { "fault", "no_answer" } });
+    }
+    const http_reply first = callWith(home.edge, "pitchdesk", "hold", "id-1", extras);
+    REQUIRE(outcomeIn(first) == "unknown connection_lost");
+    extras.deadline = "1"; // The repeat is over before it reaches the ticket's home, or finds the outcome there.
+    for (int round = 0; round < 20; ++round) {
+        const std::string outcome = outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "hold", "id-1", extras));
+        CAPTURE(outcome);
+        CHECK(outcome.starts_with("unknown"));
+    }
+}
+
+TEST_CASE("a planned stop waits for a call that takes longer than the word of leaving")
+{
+    test_fleet fleet(stallOptions());
+    for (const fleet_host &host : fleet.hostsOf("pitchdesk")) {
+        fleet.control(host.backend, { { "fault", "slow" }, { "factor", 150 } });
+    }
+    std::string outcome;
+    std::thread caller([&] { outcome = outcomeIn(callWith(fleet.hosts()[2].edge, "pitchdesk", "show", "slow", {})); });
+    const auto running = [&fleet](std::size_t host) { return metricAt(fleet.hosts()[host].admin, "gate_in_use") > 0; };
+    CHECK(waitUntil([&] { return running(0) || running(1); }, { 5'000 }));
+    CHECK(fleet.daemon(running(0) ? 0 : 1).stop({ 10'000 }) == 0);
+    caller.join();
+    CHECK(outcome == "answered");
+}
