--- a/src/peer/peer_client.cpp
+++ b/src/peer/peer_client.cpp
@@ -92,7 +92,7 @@
     {
         const auto known = channels.load();
         const auto found = known->find(address);
-        const auto channel = found == known->end() ? addChannel(address) : found->second;
+        auto channel = found == known->end() ? addChannel(address) : found->second;
         channel->lastUse.store(steadyNow().count, std::memory_order_relaxed);
         return channel;
     }
@@ -105,7 +105,7 @@
         if (found != known->end()) {
             return found->second;
         }
-        const auto channel = openChannel(address, maxMessageBytes);
+        auto channel = openChannel(address, maxMessageBytes);
         auto extended = std::make_shared<channel_map>(*known);
         extended->emplace(address, channel);
         channels.publish(std::move(extended));
