--- a/src/admission/class_table.cpp
+++ b/src/admission/class_table.cpp
@@ -5,13 +5,15 @@
 #include <algorithm>
 #include <cmath>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr double pastSamples = 8; ///< Samples that the past counts for beside those of a window.
 constexpr double trustLost = 0.2; ///< Part of the mean that the deviation gains in a window without samples.
 constexpr double leastEffort = 1e-6; ///< Stands in for an effort of 0.
-constexpr clock_ms classLifetime{ 10'000 }; ///< A class unused for longer makes room for others.
+constexpr clock_ms classLifetime{10'000}; ///< A class unused for longer makes room for others.
 constexpr std::string_view sharedClassName; ///< Name of the class that takes what finds no room.
 
 bool isUnused(const work_class &candidate, clock_ms now)
@@ -28,7 +30,7 @@
 
 rank_id rankOfTier(std::size_t tier)
 {
-    return rank_id{ static_cast<std::uint8_t>(tier % firstLesserTier) };
+    return rank_id{static_cast<std::uint8_t>(tier % firstLesserTier)};
 }
 
 void service_estimate::add(double sample)
@@ -83,7 +85,7 @@
         m_tiers[firstLesserTier + rank].effort = effort;
     }
     if (count > 0) {
-        m_lastRank = rank_id{ static_cast<std::uint8_t>(count - 1) };
+        m_lastRank = rank_id{static_cast<std::uint8_t>(count - 1)};
     }
 }
 
@@ -92,14 +94,20 @@
     const std::size_t index = tierOf(call);
     tier_state &owner = m_tiers.at(index);
     m_lastRank = std::max(m_lastRank, rankOfTier(index));
-    auto found = std::ranges::find_if(owner.classes, [&](const auto &known) { return known->name == call.callClass; });
+    auto found = std::ranges::find_if(owner.classes, [&](const auto &known) {
+        return known->name == call.callClass;
+    });
     if (found == owner.classes.end() && owner.classes.size() >= maxClassesPerTier) {
-        std::erase_if(owner.classes, [&](const auto &known) { return isUnused(*known, now); });
+        std::erase_if(owner.classes, [&](const auto &known) {
+            return isUnused(*known, now);
+        });
         found = owner.classes.end();
     }
     const bool isFull = owner.classes.size() >= maxClassesPerTier;
     if (found == owner.classes.end() && isFull) {
-        found = std::ranges::find_if(owner.classes, [](const auto &known) { return known->name == sharedClassName; });
+        found = std::ranges::find_if(owner.classes, [](const auto &known) {
+            return known->name == sharedClassName;
+        });
     }
     work_class &result = found != owner.classes.end() ? **found : addClass(owner, isFull ? sharedClassName : call.callClass, index);
     result.lastSeen = now;
--- a/src/admission/class_table_base.h
+++ b/src/admission/class_table_base.h
@@ -15,7 +15,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /**
  * Number of tiers. A tier is a rank together with its protection; all protected tiers stand before all others,
@@ -124,7 +125,7 @@
     work_class &addClass(tier_state &owner, std::string_view name, std::size_t tierIndex);
 
     std::array<tier_state, tierCount> m_tiers;
-    rank_id m_lastRank{ 0 };
+    rank_id m_lastRank{0};
 };
 
 } // namespace cicadamux::detail
--- a/src/admission/concurrency_limit.cpp
+++ b/src/admission/concurrency_limit.cpp
@@ -5,11 +5,13 @@
 #include <algorithm>
 #include <cmath>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
-constexpr clock_ms windowLength{ 100 };
-constexpr clock_ms longestWindow{ 500 }; ///< A window ends by then even with few answers.
+namespace
+{
+constexpr clock_ms windowLength{100};
+constexpr clock_ms longestWindow{500}; ///< A window ends by then even with few answers.
 constexpr std::uint32_t windowAnswers = 32; ///< Answers that a window waits for.
 constexpr double raisedFactor = 1.5; ///< A latency is raised beyond this multiple of the baseline,
 constexpr double raisedNoise = 2; ///< and this over the root of the number of answers,
@@ -21,10 +23,10 @@
 constexpr double growth = 1.5; ///< Of the limit in one window, below the ceiling.
 constexpr double queueRatio = 0.75; ///< Latency in a probe, relative to before, below which calls queued inside.
 constexpr double queueAllowed = 1.25; ///< Latency relative to the baseline that a lowered limit aims at.
-constexpr clock_ms shortestProbeTimeout{ 1'000 };
+constexpr clock_ms shortestProbeTimeout{1'000};
 constexpr double probeTimeoutFactor = 4; ///< Longest probe in multiples of the latency.
-constexpr clock_ms shedCeiling{ 1'000 }; ///< How long a shed holds growth back.
-constexpr clock_ms queueCeiling{ 2'000 }; ///< How long a queue inside the backend server holds growth back.
+constexpr clock_ms shedCeiling{1'000}; ///< How long a shed holds growth back.
+constexpr clock_ms queueCeiling{2'000}; ///< How long a queue inside the backend server holds growth back.
 } // namespace
 
 double latency_window::mean() const
@@ -127,7 +129,7 @@
 
 void concurrency_limit::restartWindow(clock_ms now)
 {
-    m_window = { now, 0, 0, m_inUse >= m_current };
+    m_window = {now, 0, 0, m_inUse >= m_current};
     m_windowLimit = m_current;
 }
 
@@ -214,7 +216,7 @@
 
 void concurrency_limit::judgeProbe(clock_ms now)
 {
-    const auto longest = clock_ms{ static_cast<std::int64_t>(m_probeReference * probeTimeoutFactor) };
+    const auto longest = clock_ms{static_cast<std::int64_t>(m_probeReference * probeTimeoutFactor)};
     if (m_phase == phase::probe_measuring && m_window.count >= windowAnswers) {
         const double latency = m_window.mean();
         if (latency < queueRatio * m_probeReference) {
--- a/src/admission/concurrency_limit_base.h
+++ b/src/admission/concurrency_limit_base.h
@@ -7,7 +7,8 @@
 
 #include <string_view>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** What was measured of answers in a window. */
 struct latency_window {
--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -5,7 +5,8 @@
 #include "admission/gate_state_base.h"
 #include "core/invariant_func.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 gate::gate(const gate_settings &settings)
     : m_state(std::make_unique<state>(settings))
@@ -95,7 +96,9 @@
 
 void gate::refuseAll(outcome_reason reason, clock_ms now, std::vector<gate_decision> &decisions)
 {
-    const auto taken = m_state->queue.takeIf([](const detail::waiting_call &, const detail::work_class &) { return true; });
+    const auto taken = m_state->queue.takeIf([](const detail::waiting_call &, const detail::work_class &) {
+        return true;
+    });
     for (const detail::taken_call &waiter : taken) {
         m_state->refuse(waiter.waiter.call, waiter.waiter.since, reason, now, decisions);
     }
--- a/src/admission/gate_base.h
+++ b/src/admission/gate_base.h
@@ -9,7 +9,8 @@
 #include <span>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Tunables of a gate; settings fill them in. */
 struct gate_settings {
@@ -18,7 +19,7 @@
     std::uint32_t minLimit = 1;
     std::uint32_t maxLimit = 4096;
     std::uint32_t maxWaiting = 1024; ///< Calls in the queue.
-    clock_ms maxWait{ 100 }; ///< Longest wait of a call below the protected ranks that isn't late-ok.
+    clock_ms maxWait{100}; ///< Longest wait of a call below the protected ranks that isn't late-ok.
 };
 
 /**
--- a/src/admission/gate_state.cpp
+++ b/src/admission/gate_state.cpp
@@ -3,11 +3,13 @@
 #include "admission/gate_state_base.h"
 #include "core/invariant_func.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
-constexpr clock_ms sweepInterval{ 5 }; ///< Between two searches of the queue for calls that are too old.
-constexpr clock_ms closedFor{ 100 }; ///< How long lesser ranks stay refused after a protected call was.
+namespace
+{
+constexpr clock_ms sweepInterval{5}; ///< Between two searches of the queue for calls that are too old.
+constexpr clock_ms closedFor{100}; ///< How long lesser ranks stay refused after a protected call was.
 } // namespace
 
 gate::state::state(const gate_settings &initial)
@@ -91,8 +93,8 @@
     }
     queue.charge(owner);
     ++owner.inUse;
-    admitted.emplace(call.call, admitted_call{ &owner, now });
-    decisions.push_back({ call.call, true, outcome_reason::none, rankAdmitted(now), now - since });
+    admitted.emplace(call.call, admitted_call{&owner, now});
+    decisions.push_back({call.call, true, outcome_reason::none, rankAdmitted(now), now - since});
 }
 
 void gate::state::drop(const detail::taken_call &taken, clock_ms now, std::vector<gate_decision> &decisions)
@@ -104,7 +106,7 @@
 
 void gate::state::refuse(const gate_call &call, clock_ms since, outcome_reason reason, clock_ms now, std::vector<gate_decision> &decisions)
 {
-    decisions.push_back({ call.call, false, reason, rankAdmitted(now), now - since });
+    decisions.push_back({call.call, false, reason, rankAdmitted(now), now - since});
 }
 
 void gate::state::refuseByRank(const gate_call &call, std::size_t tier, clock_ms since, clock_ms now, std::vector<gate_decision> &decisions)
@@ -155,7 +157,7 @@
     const gate_level measured = overload.level();
     const rank_id closedRank = detail::rankOfTier(closed.tier);
     if (now < closed.until && measured.rank > closedRank) {
-        return { closedRank, subLevelCount };
+        return {closedRank, subLevelCount};
     }
     return measured;
 }
--- a/src/admission/gate_state_base.h
+++ b/src/admission/gate_state_base.h
@@ -10,7 +10,8 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** A call that holds a slot. */
 struct admitted_call {
--- a/src/admission/gate_type.h
+++ b/src/admission/gate_type.h
@@ -9,7 +9,8 @@
 #include <cstdint>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Sub-levels inside a rank; a root's sub-level is a hash of its id. */
 constexpr std::uint16_t subLevelCount = 1024;
--- a/src/admission/level_board.cpp
+++ b/src/admission/level_board.cpp
@@ -11,10 +11,12 @@
 #include <mutex>
 #include <optional>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
-constexpr clock_ms levelLifetime{ 1'000 }; ///< An older level isn't believed.
+namespace
+{
+constexpr clock_ms levelLifetime{1'000}; ///< An older level isn't believed.
 constexpr std::size_t shardCount = 16;
 constexpr std::size_t maxServicesPerShard = 64;
 constexpr std::size_t maxGatesPerService = 64;
@@ -66,7 +68,9 @@
     if (shard.services.size() < maxServicesPerShard) {
         return;
     }
-    const auto oldest = std::ranges::min_element(shard.services, {}, [](const auto &service) { return youngest(service.second); });
+    const auto oldest = std::ranges::min_element(shard.services, {}, [](const auto &service) {
+        return youngest(service.second);
+    });
     shard.services.erase(oldest);
 }
 
@@ -120,7 +124,7 @@
         std::ranges::pop_heap(heap, isYounger);
         heap.pop_back();
     }
-    heap.push_back({ service, entry.host, entry.level, age });
+    heap.push_back({service, entry.host, entry.level, age});
     std::ranges::push_heap(heap, isYounger);
 }
 } // namespace
@@ -143,7 +147,7 @@
 
 void level_board::note(const heard_level &heard, clock_ms now)
 {
-    gate_entry entry{ heard.host, heard.level, now - std::max(heard.age, clock_ms{}) };
+    gate_entry entry{heard.host, heard.level, now - std::max(heard.age, clock_ms{})};
     if (!isBelieved(entry, now)) {
         return;
     }
@@ -172,7 +176,7 @@
         }
         const std::optional<rank_id> admitted = refusedByAll(found->second, rank, subLevel, now);
         if (admitted) {
-            return { true, service, admitted->value };
+            return {true, service, admitted->value};
         }
     }
     return {};
--- a/src/admission/level_board_base.h
+++ b/src/admission/level_board_base.h
@@ -10,7 +10,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** One gate's level, as heard. */
 struct heard_level {
--- a/src/admission/overload_level.cpp
+++ b/src/admission/overload_level.cpp
@@ -7,10 +7,12 @@
 #include <algorithm>
 #include <cmath>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
-constexpr clock_ms windowLength{ 100 };
+namespace
+{
+constexpr clock_ms windowLength{100};
 constexpr double rateKept = 0.5; ///< Weight of the past in a rate after one window.
 constexpr double leastRate = 1e-5; ///< Calls per millisecond; a lower rate counts as none.
 constexpr double leastCost = 0.1; ///< Slot time of a call in milliseconds at least.
@@ -86,7 +88,7 @@
     if (m_isRefusing) {
         return m_level;
     }
-    return { m_classes.lastRank(), subLevelCount };
+    return {m_classes.lastRank(), subLevelCount};
 }
 
 std::uint16_t overload_level::subLevelFor(double admittedPart)
@@ -161,7 +163,7 @@
     std::vector<share_claim> claims;
     for (std::size_t index = firstLesserTier; index < tierCount; ++index) {
         const tier_state &tier = m_classes.tier(index);
-        claims.push_back({ demandOf(tier), tier.effort });
+        claims.push_back({demandOf(tier), tier.effort});
     }
     const std::vector<double> given = divideCapacity(capacity, claims);
     for (std::size_t index = firstLesserTier; index < tierCount; ++index) {
@@ -174,7 +176,7 @@
     tier.newClassPart = left > 0 ? 1 : 0;
     std::vector<share_claim> claims;
     for (const auto &owner : tier.classes) {
-        claims.push_back({ owner->offeredRate * costOf(*owner), 1 });
+        claims.push_back({owner->offeredRate * costOf(*owner), 1});
     }
     const std::vector<double> given = divideCapacity(capacity, claims);
     for (std::size_t index = 0; index < claims.size(); ++index) {
@@ -201,10 +203,10 @@
         }
         part = isOffered ? part : tier.newClassPart;
         if (part > 0) {
-            return { rankOfTier(index), subLevelFor(part) };
+            return {rankOfTier(index), subLevelFor(part)};
         }
     }
-    return { rank_id{ 0 }, 0 };
+    return {rank_id{0}, 0};
 }
 
 } // namespace cicadamux::detail
--- a/src/admission/overload_level_base.h
+++ b/src/admission/overload_level_base.h
@@ -6,7 +6,8 @@
 #include "admission/queue_pressure_base.h"
 #include "admission/time_mean_type.h"
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /**
  * Decides at arrival, before a call waits, as DAGOR does (Zhou et al., SoCC 2018): each class has a part of its roots
--- a/src/admission/queue_pressure.cpp
+++ b/src/admission/queue_pressure.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr double standingFactor = 0.95; ///< Correction after a window with a standing queue.
 constexpr double refusingFactor = 0.9; ///< Correction after a window in which the queue itself refused.
 constexpr double leastRise = 0.02; ///< Rise of the correction after a window in which the queue emptied.
--- a/src/admission/queue_pressure_base.h
+++ b/src/admission/queue_pressure_base.h
@@ -7,7 +7,8 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /**
  * Watches one part of a queue and corrects the estimate of what can be admitted by it.
--- a/src/admission/share.cpp
+++ b/src/admission/share.cpp
@@ -5,13 +5,16 @@
 #include <algorithm>
 #include <numeric>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 std::vector<double> divideCapacity(double capacity, std::span<const share_claim> claims)
 {
     std::vector<std::size_t> order(claims.size());
     std::iota(order.begin(), order.end(), 0);
-    std::ranges::sort(order, {}, [&](std::size_t index) { return claims[index].demand / claims[index].weight; });
+    std::ranges::sort(order, {}, [&](std::size_t index) {
+        return claims[index].demand / claims[index].weight;
+    });
     double weightLeft = 0;
     for (const share_claim &claim : claims) {
         weightLeft += claim.weight;
--- a/src/admission/share_func.h
+++ b/src/admission/share_func.h
@@ -5,7 +5,8 @@
 #include <span>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** One claim on a capacity. */
 struct share_claim {
--- a/src/admission/sub_level.cpp
+++ b/src/admission/sub_level.cpp
@@ -3,9 +3,11 @@
 #include "admission/gate_type.h"
 #include "core/hash_func.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::uint64_t subLevelSeed = 0x5b1e7e15; ///< Keeps sub-levels independent of other hashes of a root.
 }
 
--- a/src/admission/time_mean_type.h
+++ b/src/admission/time_mean_type.h
@@ -4,7 +4,8 @@
 
 #include "core/clock_type.h"
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** Mean of a value that is constant between changes, weighted by how long each value stood. */
 class time_mean
--- a/src/admission/wait_queue.cpp
+++ b/src/admission/wait_queue.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <limits>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr double leastCost = 0.1; ///< Milliseconds charged for one admission at least.
 
 double costOf(const work_class &owner)
@@ -18,7 +20,7 @@
 wait_key keyOf(const gate_call &call, std::uint64_t sequence)
 {
     const auto shallowness = static_cast<std::uint8_t>(std::numeric_limits<std::uint8_t>::max() - call.depth);
-    return { shallowness, call.deadline, sequence };
+    return {shallowness, call.deadline, sequence};
 }
 
 work_class *nextClass(const tier_state &tier)
@@ -59,8 +61,8 @@
         tier.pass = std::max(tier.pass, m_virtualTime);
     }
     const wait_key key = keyOf(call, m_nextSequence++);
-    owner.waiting.emplace(key, waiting_call{ call, now });
-    m_places.insert_or_assign(call.call, place{ &owner, key });
+    owner.waiting.emplace(key, waiting_call{call, now});
+    m_places.insert_or_assign(call.call, place{&owner, key});
     ++tier.waiting;
     countStrict(call, owner, 1);
 }
@@ -175,7 +177,9 @@
     if (!last || *last <= tier) {
         return {};
     }
-    return takeIf([tier](const waiting_call &, const work_class &owner) { return owner.tier > tier; });
+    return takeIf([tier](const waiting_call &, const work_class &owner) {
+        return owner.tier > tier;
+    });
 }
 
 void wait_queue::charge(work_class &owner)
@@ -221,7 +225,7 @@
 
 taken_call wait_queue::remove(work_class &owner, std::map<wait_key, waiting_call>::iterator position)
 {
-    taken_call taken{ std::move(position->second), &owner };
+    taken_call taken{std::move(position->second), &owner};
     owner.waiting.erase(position);
     m_places.erase(taken.waiter.call.call);
     --m_classes.tier(owner.tier).waiting;
--- a/src/admission/wait_queue_base.h
+++ b/src/admission/wait_queue_base.h
@@ -9,7 +9,8 @@
 #include <functional>
 #include <optional>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** A call taken out of the queue. */
 struct taken_call {
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -14,9 +14,11 @@
 #include <utility>
 #include <variant>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxObjects = 4'096; ///< Policy objects held; further services are refused.
 constexpr std::size_t maxReplyBytes = 1'500'000; ///< Values in one answer to a peer that lags.
 
@@ -42,21 +44,21 @@
         rank_table table = parseRankTable(object.value);
         const std::uint64_t generation = table.generation;
         std::string operationId = table.operationId;
-        return parsed_object{ std::move(table), std::string(rankTableName), generation, std::move(operationId) };
+        return parsed_object{std::move(table), std::string(rankTableName), generation, std::move(operationId)};
     }
     if (object.kind == servicePolicyKind) {
         service_policy policy = parseServicePolicy(object.value);
         const std::uint64_t generation = policy.generation;
         std::string name = policy.service;
         std::string operationId = policy.operationId;
-        return parsed_object{ std::move(policy), std::move(name), generation, std::move(operationId) };
+        return parsed_object{std::move(policy), std::move(name), generation, std::move(operationId)};
     }
     return std::nullopt;
 }
 
 void logRefusal(std::string_view event, const configuration_object &object, std::string_view reason)
 {
-    logEvent(log_level::warning, event, { { "kind", object.kind }, { "name", object.name }, { "generation", object.generation }, { "reason", reason } });
+    logEvent(log_level::warning, event, {{"kind", object.kind}, {"name", object.name}, {"generation", object.generation}, {"reason", reason}});
 }
 
 /** Parses an object; logs why it can't be used. */
@@ -133,7 +135,7 @@
 
 void configuration::state::put(const configuration_object &object, parsed_object parsed)
 {
-    held_object &held = objects[{ object.kind, object.name }];
+    held_object &held = objects[{object.kind, object.name}];
     checkInvariant(parsed.generation >= held.object.generation, invariant::version_monotonic, object.name);
     held.object = object;
     held.object.generation = parsed.generation;
@@ -160,7 +162,7 @@
 
 offer_result configuration::state::offer(const configuration_object &object, parsed_object parsed)
 {
-    const auto found = objects.find({ object.kind, object.name });
+    const auto found = objects.find({object.kind, object.name});
     if (found == objects.end()) {
         if (objects.size() >= maxObjects) {
             logRefusal("configuration_invalid", object, "too_many_objects");
@@ -228,7 +230,7 @@
     std::vector<object_generation> result;
     result.reserve(m_state->objects.size());
     for (const auto &[key, held] : m_state->objects) {
-        result.push_back({ key.first, key.second, held.object.generation, operationHash(held.operationId) });
+        result.push_back({key.first, key.second, held.object.generation, operationHash(held.operationId)});
     }
     return result;
 }
@@ -236,7 +238,7 @@
 std::optional<configuration_object> configuration::object(std::string_view kind, std::string_view name) const
 {
     const std::lock_guard lock(m_state->mutex);
-    const auto found = m_state->objects.find({ std::string(kind), std::string(name) });
+    const auto found = m_state->objects.find({std::string(kind), std::string(name)});
     if (found == m_state->objects.end()) {
         return std::nullopt;
     }
@@ -247,7 +249,7 @@
 {
     std::map<std::pair<std::string_view, std::string_view>, const object_generation *> known;
     for (const object_generation &generation : theirs) {
-        known[{ generation.kind, generation.name }] = &generation;
+        known[{generation.kind, generation.name}] = &generation;
     }
     std::vector<configuration_object> result;
     std::size_t bytes = 0;
@@ -256,7 +258,7 @@
         if (result.size() >= most || bytes >= maxReplyBytes) {
             break;
         }
-        const auto found = known.find({ key.first, key.second });
+        const auto found = known.find({key.first, key.second});
         if (found == known.end() || isNewer(held, *found->second)) {
             bytes += held.object.value.size();
             result.push_back(held.object);
@@ -271,7 +273,7 @@
     std::size_t bytes = 0;
     const std::lock_guard lock(m_state->mutex);
     for (const object_generation &theirs : named) {
-        const auto found = m_state->objects.find({ theirs.kind, theirs.name });
+        const auto found = m_state->objects.find({theirs.kind, theirs.name});
         if (found != m_state->objects.end() && isNewer(found->second, theirs) && bytes < maxReplyBytes) {
             bytes += found->second.object.value.size();
             result.push_back(found->second.object);
@@ -285,7 +287,7 @@
     std::vector<object_generation> result;
     const std::lock_guard lock(m_state->mutex);
     for (const object_generation &generation : theirs) {
-        const auto found = m_state->objects.find({ generation.kind, generation.name });
+        const auto found = m_state->objects.find({generation.kind, generation.name});
         if (found == m_state->objects.end() || found->second.object.generation < generation.generation) {
             result.push_back(generation);
             continue;
--- a/src/configuration/configuration_base.h
+++ b/src/configuration/configuration_base.h
@@ -14,7 +14,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Names one generation of one policy object. */
 struct object_generation {
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -4,18 +4,19 @@
 
 #include <chrono>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 clock_ms steadyNow()
 {
     const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count() };
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count()};
 }
 
 clock_ms wallNow()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count() };
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()};
 }
 
 } // namespace cicadamux
--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -6,7 +6,8 @@
 #include <cstdint>
 #include <functional>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** An instant on a daemon's monotonic clock, or a span between two of them, in milliseconds. */
 struct clock_ms {
@@ -16,12 +17,12 @@
 
     constexpr clock_ms operator+(clock_ms other) const
     {
-        return { count + other.count };
+        return {count + other.count};
     }
 
     constexpr clock_ms operator-(clock_ms other) const
     {
-        return { count - other.count };
+        return {count - other.count};
     }
 
     constexpr clock_ms &operator+=(clock_ms other)
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -5,7 +5,8 @@
 #include <stdexcept>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /**
  * Base of all errors. Each subject derives its own type with the data that a caller needs to react;
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -4,7 +4,8 @@
 
 #include <xxhash.h>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed)
 {
--- a/src/core/hash_func.h
+++ b/src/core/hash_func.h
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Hashes bytes. The result doesn't depend on the machine or the process. */
 std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed = 0);
--- a/src/core/id.cpp
+++ b/src/core/id.cpp
@@ -4,9 +4,11 @@
 
 #include <charconv>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t idDigits = 16;
 constexpr int hexBase = 16;
 
--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -10,10 +10,11 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** An identifier that can't be mixed up with one of another kind. */
-template <typename Tag, typename Representation, Representation invalidValue>
+template<typename Tag, typename Representation, Representation invalidValue>
 struct typed_id {
     Representation value = invalidValue; ///< The raw identifier.
 
@@ -52,7 +53,7 @@
 
 } // namespace cicadamux
 
-template <typename Tag, typename Representation, Representation invalidValue>
+template<typename Tag, typename Representation, Representation invalidValue>
 struct std::hash<cicadamux::typed_id<Tag, Representation, invalidValue>> {
     std::size_t operator()(const cicadamux::typed_id<Tag, Representation, invalidValue> &id) const noexcept
     {
--- a/src/core/invariant.cpp
+++ b/src/core/invariant.cpp
@@ -6,9 +6,11 @@
 #include <atomic>
 #include <mutex>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t invariantCount = static_cast<std::size_t>(invariant::count);
 
 std::array<std::atomic<std::uint64_t>, invariantCount> violations;
@@ -32,8 +34,16 @@
 std::string_view toString(invariant which)
 {
     constexpr std::array<std::string_view, invariantCount> names = {
-        "rank_order",    "limit_held",      "slot_accounting",   "retry_bound",   "at_most_once",
-        "not_run_truth", "answer_identity", "version_monotonic", "draining_idle", "incarnation_monotonic",
+        "rank_order",
+        "limit_held",
+        "slot_accounting",
+        "retry_bound",
+        "at_most_once",
+        "not_run_truth",
+        "answer_identity",
+        "version_monotonic",
+        "draining_idle",
+        "incarnation_monotonic",
     };
     return names.at(static_cast<std::size_t>(which));
 }
--- a/src/core/invariant_func.h
+++ b/src/core/invariant_func.h
@@ -6,7 +6,8 @@
 #include <functional>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** The promises that are checked; docs/PROOFS.md says what each one means. */
 enum class invariant : std::uint8_t {
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -17,13 +17,15 @@
 #include <iostream>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 namespace logging = boost::log;
 using text_sink = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
 
-std::atomic<log_level> lowestLevel{ log_level::info };
+std::atomic<log_level> lowestLevel{log_level::info};
 std::string hostName; // Set once, before any other thread logs.
 
 std::string_view toString(log_level level)
@@ -77,7 +79,7 @@
 boost::shared_ptr<std::ostream> openStream(const std::string &file)
 {
     if (file.empty()) {
-        return { &std::clog, boost::null_deleter() };
+        return {&std::clog, boost::null_deleter()};
     }
     return boost::make_shared<std::ofstream>(file, std::ios::app);
 }
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 enum class log_level : std::uint8_t { debug, info, warning, error };
 
--- a/src/core/random.cpp
+++ b/src/core/random.cpp
@@ -4,7 +4,8 @@
 
 #include <random>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 std::uint64_t secureRandom()
 {
--- a/src/core/random_func.h
+++ b/src/core/random_func.h
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <functional>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Returns 64 random bits; tests replace it with a seeded one. */
 using random_source = std::function<std::uint64_t()>;
--- a/src/core/rcu.cpp
+++ b/src/core/rcu.cpp
@@ -4,7 +4,8 @@
 
 #include <urcu/urcu-bp.h>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 rcu_read_guard::rcu_read_guard()
 {
--- a/src/core/rcu_type.h
+++ b/src/core/rcu_type.h
@@ -5,9 +5,11 @@
 #include <memory>
 #include <mutex>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace detail {
+namespace detail
+{
 /** Holds a read-side critical section of liburcu for its life. */
 class rcu_read_guard
 {
@@ -27,7 +29,7 @@
  * One immutable value that many threads read and few replace.
  * Readers never wait for writers. A writer waits for the readers of the previous value, so publish() isn't for the path of a request.
  */
-template <typename Value>
+template<typename Value>
 class rcu_snapshot
 {
 public:
--- a/src/daemon/backend_link.cpp
+++ b/src/daemon/backend_link.cpp
@@ -10,9 +10,11 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t maxSlots = 65'536;
 constexpr std::int64_t maxServerConnections = 65'536;
@@ -174,7 +176,7 @@
     m_current.publish(after);
     logEvent(log_level::info,
              "backend_server_changed",
-             { { "service", after->service.empty() ? before->service : after->service }, { "state", toString(after->state) }, { "slots", after->slots } });
+             {{"service", after->service.empty() ? before->service : after->service}, {"state", toString(after->state)}, {"slots", after->slots}});
     m_changed(*before, *after);
 }
 
@@ -183,7 +185,7 @@
     http_request request;
     request.method = "POST";
     request.target = "/cicadamux/cancel";
-    request.headers.push_back({ "cicadamux-call", toHex(call.value) });
+    request.headers.push_back({"cicadamux-call", toHex(call.value)});
     server.client->send(std::move(request), [acknowledged = std::move(acknowledged)](const http_result &result) {
         constexpr unsigned ok = 200;
         acknowledged(result.failure == http_failure::none && result.response.status == ok);
--- a/src/daemon/backend_link_base.h
+++ b/src/daemon/backend_link_base.h
@@ -15,7 +15,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** What the backend server last announced. */
 struct backend_server {
--- a/src/daemon/call_entry.cpp
+++ b/src/daemon/call_entry.cpp
@@ -9,7 +9,8 @@
 #include <algorithm>
 #include <chrono>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** A call that has entered, until it is answered. */
 struct call_entry::entered_call {
@@ -56,15 +57,15 @@
 
 http_response call_entry::malformed(outcome_reason reason) const
 {
-    return makeCallResponse(makeRefused(refusalHere(m_core, reason, "", ""), 0), root_id{ threadRandom() | 1U }, rank_id::invalid());
+    return makeCallResponse(makeRefused(refusalHere(m_core, reason, "", ""), 0), root_id{threadRandom() | 1U}, rank_id::invalid());
 }
 
 void call_entry::enterFromOutside(http_request request, std::shared_ptr<http_exchange> exchange)
 {
     const auto entered = std::make_shared<entered_call>();
     entered->exchange = std::move(exchange);
-    entered->id = call_id{ secureRandom() | 1U };
-    entered->request.context.root = root_id{ secureRandom() | 1U };
+    entered->id = call_id{secureRandom() | 1U};
+    entered->request.context.root = root_id{secureRandom() | 1U};
     const outcome_reason reason = resolve(*entered, std::move(request));
     if (reason != outcome_reason::none) {
         refuse(entered, reason);
@@ -128,7 +129,9 @@
 refusal_detail call_entry::refuseEarly(const entered_call &entered) const
 {
     const call_request &request = entered.request;
-    const auto refused = [&](outcome_reason reason) { return refusalHere(m_core, reason, request.service, request.operation); };
+    const auto refused = [&](outcome_reason reason) {
+        return refusalHere(m_core, reason, request.service, request.operation);
+    };
     if (m_core.stopping) {
         return refused(outcome_reason::draining);
     }
@@ -165,7 +168,7 @@
 {
     const auto entered = std::make_shared<entered_call>();
     entered->exchange = std::move(exchange);
-    entered->id = call_id{ secureRandom() | 1U };
+    entered->id = call_id{secureRandom() | 1U};
     const std::string contextText(findHeader(request.headers, "cicadamux-context").value_or(""));
     outcome_reason reason = resolve(*entered, std::move(request));
     if (reason == outcome_reason::none) {
@@ -184,7 +187,7 @@
     if (!token) {
         return outcome_reason::bad_request;
     }
-    entered.parent = call_id{ *token };
+    entered.parent = call_id{*token};
     const auto parent = m_core.held.find(entered.parent);
     if (!parent) {
         return outcome_reason::parent_gone;
@@ -269,10 +272,10 @@
     if (result.outcome != call_outcome::answered) {
         logEvent(log_level::debug,
                  "call_not_answered",
-                 { { "root", toHex(request.context.root.value) },
-                   { "service", request.service },
-                   { "operation", request.operation },
-                   { "reason", toString(result.detail.reason) } });
+                 {{"root", toHex(request.context.root.value)},
+                  {"service", request.service},
+                  {"operation", request.operation},
+                  {"reason", toString(result.detail.reason)}});
     }
     entered.exchange->respond(makeCallResponse(std::move(result), request.context.root, request.context.rank));
 }
--- a/src/daemon/call_entry_base.h
+++ b/src/daemon/call_entry_base.h
@@ -10,7 +10,8 @@
 #include <functional>
 #include <memory>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** A refusal decided where a call enters. */
 using entry_refusal_hook = std::function<void(const call_request &request, const refusal_detail &detail)>;
--- a/src/daemon/call_headers.cpp
+++ b/src/daemon/call_headers.cpp
@@ -7,9 +7,11 @@
 #include <algorithm>
 #include <charconv>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t maxTicketLength = 512; ///< Characters.
 
@@ -41,7 +43,7 @@
     if (!isWhole || milliseconds < 1 || milliseconds > maxDeadline) {
         throw call_header_error("cicadamux-deadline-ms is not a whole number from 1 to 600000");
     }
-    return clock_ms{ milliseconds };
+    return clock_ms{milliseconds};
 }
 
 std::string readTicket(std::span<const http_field> headers)
@@ -74,10 +76,10 @@
         response.body = std::move(result.body);
     } else {
         response = makeJsonResponse(statusOf(result.detail.reason), formatRefusal(result.detail, root, rank));
-        response.headers.push_back({ "cicadamux-reason", std::string(toString(result.detail.reason)) });
+        response.headers.push_back({"cicadamux-reason", std::string(toString(result.detail.reason))});
     }
-    response.headers.push_back({ "cicadamux-outcome", std::string(toString(result.outcome)) });
-    response.headers.push_back({ "cicadamux-root", toHex(root.value) });
+    response.headers.push_back({"cicadamux-outcome", std::string(toString(result.outcome))});
+    response.headers.push_back({"cicadamux-root", toHex(root.value)});
     return response;
 }
 
@@ -85,7 +87,7 @@
 {
     http_response response;
     response.status = status;
-    response.headers.push_back({ "content-type", "application/json" });
+    response.headers.push_back({"content-type", "application/json"});
     response.body = std::move(json);
     return response;
 }
--- a/src/daemon/call_headers_func.h
+++ b/src/daemon/call_headers_func.h
@@ -9,7 +9,8 @@
 #include <optional>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** A `cicadamux-` header is missing or malformed. */
 class call_header_error : public error
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,13 +14,15 @@
 #include <thread>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 
 void logViolation(invariant which, std::string_view detail)
 {
-    logEvent(log_level::error, "invariant_violated", { { "invariant", toString(which) }, { "detail", detail } });
+    logEvent(log_level::error, "invariant_violated", {{"invariant", toString(which)}, {"detail", detail}});
 }
 
 std::vector<std::thread> startThreads(boost::asio::io_context &context, std::uint32_t count)
@@ -28,7 +30,9 @@
     std::vector<std::thread> threads;
     threads.reserve(count);
     for (std::uint32_t index = 0; index < count; ++index) {
-        threads.emplace_back([&context] { context.run(); });
+        threads.emplace_back([&context] {
+            context.run();
+        });
     }
     return threads;
 }
@@ -50,7 +54,11 @@
 
     boost::asio::signal_set signals(control, SIGTERM, SIGINT);
     signals.async_wait([&](boost::system::error_code, int) {
-        boost::asio::post(context, [&] { daemon.drain([&] { control.stop(); }); });
+        boost::asio::post(context, [&] {
+            daemon.drain([&] {
+                control.stop();
+            });
+        });
         signals.async_wait([&](boost::system::error_code, int) { // A second signal doesn't wait any longer.
             control.stop();
         });
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -23,7 +23,8 @@
 #include <mutex>
 #include <optional>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Owns everything of one daemon. start() and drain() are called on one of the context's threads. */
 class daemon_process
@@ -70,6 +71,7 @@
     void updateGauges(clock_ms now);
     void gateTick();
     void housekeepingTick();
+    void openEdgeIfReady(clock_ms now);
     void waitUntilQuiet(clock_ms since, std::function<void()> done);
 
     boost::asio::io_context &m_context;
@@ -87,7 +89,9 @@
     boost::asio::steady_timer m_gateTimer;
     boost::asio::steady_timer m_housekeepingTimer;
     boost::asio::steady_timer m_drainTimer;
-    std::atomic<bool> m_ended{ false };
+    const clock_ms m_startedAt = steadyNow();
+    bool m_edgeOpen = false; ///< Changed by the housekeeping only.
+    std::atomic<bool> m_ended{false};
     refusal_log m_refusals;
     data_center_memory m_dataCenters; ///< Of all views so far.
     std::shared_ptr<const operator_hooks> m_operatorHooks;
--- a/src/daemon/daemon_core.cpp
+++ b/src/daemon/daemon_core.cpp
@@ -2,9 +2,11 @@
 
 #include "daemon/daemon_core_type.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t messageOverhead = 131'072; ///< Bytes of a message besides its body.
 
 router_settings routerSettings(const daemon_settings &settings)
--- a/src/daemon/daemon_core_type.h
+++ b/src/daemon/daemon_core_type.h
@@ -19,7 +19,8 @@
 
 #include <atomic>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** The aggregates of one daemon; all of them are thread-safe. */
 struct daemon_core {
@@ -37,8 +38,8 @@
     ticket_home tickets;
     peer_client peers;
     daemon_metrics metrics;
-    std::atomic<bool> stopping{ false }; ///< A planned stop has begun: nothing new is taken in.
-    std::atomic<std::uint32_t> dispatched{ 0 }; ///< Calls that this daemon has sent on and that haven't ended.
+    std::atomic<bool> stopping{false}; ///< A planned stop has begun: nothing new is taken in.
+    std::atomic<std::uint32_t> dispatched{0}; ///< Calls that this daemon has sent on and that haven't ended.
 };
 
 /** Makes the detail of a refusal that this daemon decides. */
--- a/src/daemon/daemon_func.h
+++ b/src/daemon/daemon_func.h
@@ -4,7 +4,8 @@
 
 #include "settings/settings_type.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /**
  * Runs a daemon until SIGTERM or SIGINT, then stops it gracefully.
--- a/src/daemon/daemon_operator.cpp
+++ b/src/daemon/daemon_operator.cpp
@@ -4,9 +4,11 @@
 #include "daemon/daemon_base.h"
 #include "operator/query_func.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr unsigned ok = 200;
 
 /** Calls an action later, and keeps its timer until then. */
@@ -24,7 +26,9 @@
 
 void daemon_process::handleQuery(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
-    runQueryBody(request.body, m_operatorHooks, [exchange](std::string json) { exchange->respond(makeJsonResponse(ok, std::move(json))); });
+    runQueryBody(request.body, m_operatorHooks, [exchange](std::string json) {
+        exchange->respond(makeJsonResponse(ok, std::move(json)));
+    });
 }
 
 std::shared_ptr<const operator_hooks> daemon_process::makeOperatorHooks()
@@ -44,28 +48,46 @@
 
 void daemon_process::fillStateHooks(operator_hooks &hooks)
 {
-    hooks.view = [this] { return m_fleet->view(); };
-    hooks.dataCenters = [this] { return m_dataCenters.names(steadyNow()); };
-    hooks.upstreams = [this] { return m_core.routes.states(steadyNow()); };
+    hooks.view = [this] {
+        return m_fleet->view();
+    };
+    hooks.dataCenters = [this] {
+        return m_dataCenters.names(steadyNow());
+    };
+    hooks.upstreams = [this] {
+        return m_core.routes.states(steadyNow());
+    };
     hooks.gate = [this]() -> std::optional<gate_snapshot> {
         if (m_backend.current()->state == server_state::absent) {
             return std::nullopt;
         }
         return m_gate.snapshot(steadyNow());
     };
-    hooks.policies = [this] { return m_core.policies.load(); };
-    hooks.generations = [this] { return m_fleet->config().generations(); };
-    hooks.configurationDigest = [this] { return m_fleet->config().digest(); };
+    hooks.policies = [this] {
+        return m_core.policies.load();
+    };
+    hooks.generations = [this] {
+        return m_fleet->config().generations();
+    };
+    hooks.configurationDigest = [this] {
+        return m_fleet->config().digest();
+    };
 }
 
 void daemon_process::fillActionHooks(operator_hooks &hooks)
 {
-    hooks.offer = [this](const configuration_object &object) { return m_fleet->config().offer(object); };
+    hooks.offer = [this](const configuration_object &object) {
+        return m_fleet->config().offer(object);
+    };
     hooks.ask = [this](const member_record &member, const std::string &query, clock_ms timeLimit, ask_handler handler) {
         m_core.peers.ask(member.peerAddress, query, timeLimit, std::move(handler));
     };
-    hooks.schedule = [this](clock_ms after, std::function<void()> action) { scheduleOn(m_context, after, std::move(action)); };
-    hooks.setDraining = [this](bool draining) { m_backend.setDraining(draining); };
+    hooks.schedule = [this](clock_ms after, std::function<void()> action) {
+        scheduleOn(m_context, after, std::move(action));
+    };
+    hooks.setDraining = [this](bool draining) {
+        m_backend.setDraining(draining);
+    };
 }
 
 } // namespace cicadamux
--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -8,9 +8,11 @@
 
 #include <boost/asio/post.hpp>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::int64_t exchangeTimeout = 2'000; // Milliseconds.
 constexpr std::size_t messageOverhead = 131'072; ///< Bytes of a message besides its body.
 constexpr std::int64_t leaveNotice = 1'000; ///< Milliseconds in which the word of leaving goes round while new calls are still answered as not run.
@@ -44,13 +46,24 @@
 daemon_process::daemon_process(boost::asio::io_context &context, const daemon_settings &settings)
     : m_context(context)
     , m_platform(makePlatform(context, settings))
-    , m_core(context, settings, incarnation_id{ static_cast<std::uint64_t>(wallNow().count) })
-    , m_backend(context, m_core.settings, [this](const backend_server &before, const backend_server &after) { backendChanged(before, after); })
+    , m_core(context, settings, incarnation_id{static_cast<std::uint64_t>(wallNow().count)})
+    , m_backend(context,
+                m_core.settings,
+                [this](const backend_server &before, const backend_server &after) {
+                    backendChanged(before, after);
+                })
     , m_gate(m_core,
              m_backend,
-             [this](const call_request &request, const gate_decision &decision, const gate_snapshot &gate) { gateRefused(request, decision, gate); })
+             [this](const call_request &request, const gate_decision &decision, const gate_snapshot &gate) {
+                 gateRefused(request, decision, gate);
+             })
     , m_dispatcher(m_core, m_gate)
-    , m_entry(m_core, m_dispatcher, m_backend, [this](const call_request &request, const refusal_detail &detail) { entryRefused(request, detail); })
+    , m_entry(m_core,
+              m_dispatcher,
+              m_backend,
+              [this](const call_request &request, const refusal_detail &detail) {
+                  entryRefused(request, detail);
+              })
     , m_gateTimer(context)
     , m_housekeepingTimer(context)
     , m_drainTimer(context)
@@ -65,10 +78,12 @@
     startFleet();
     m_operatorHooks = makeOperatorHooks();
     startListeners();
+    m_local->open();
+    m_admin->open();
     m_fleet->start();
     gateTick();
     housekeepingTick();
-    logEvent(log_level::info, "daemon_started", { { "data_center", m_core.settings.dataCenter }, { "incarnation", m_core.incarnation.value } });
+    logEvent(log_level::info, "daemon_started", {{"data_center", m_core.settings.dataCenter}, {"incarnation", m_core.incarnation.value}});
 }
 
 void daemon_process::startFleet()
@@ -79,10 +94,14 @@
 fleet_hooks daemon_process::makeFleetHooks()
 {
     fleet_hooks hooks;
-    hooks.viewChanged = [this](const std::shared_ptr<const std::vector<member_record>> &view) { viewChanged(*view); };
-    hooks.policyChanged = [this](const std::shared_ptr<const policy_set> &policies) { policyChanged(policies); };
+    hooks.viewChanged = [this](const std::shared_ptr<const std::vector<member_record>> &view) {
+        viewChanged(*view);
+    };
+    hooks.policyChanged = [this](const std::shared_ptr<const policy_set> &policies) {
+        policyChanged(policies);
+    };
     hooks.exchange = [this](const std::string &address, const exchange_request &request, exchange_handler handler) {
-        m_core.peers.exchange(address, request, clock_ms{ exchangeTimeout }, std::move(handler));
+        m_core.peers.exchange(address, request, clock_ms{exchangeTimeout}, std::move(handler));
     };
     return hooks;
 }
@@ -91,15 +110,22 @@
 {
     const daemon_settings &settings = m_core.settings;
     const http_limits limits = listenerLimits(settings);
-    const auto malformed = [this](outcome_reason reason) { return m_entry.malformed(reason); };
+    const auto malformed = [this](outcome_reason reason) {
+        return m_entry.malformed(reason);
+    };
     m_peerServer = std::make_unique<peer_server>(settings.peerAddress, settings.maxBodyBytes + messageOverhead, peerHooks());
-    const auto local = [this](http_request request, std::shared_ptr<http_exchange> exchange) { m_entry.handleLocal(std::move(request), std::move(exchange)); };
+    const auto local = [this](http_request request, std::shared_ptr<http_exchange> exchange) {
+        m_entry.handleLocal(std::move(request), std::move(exchange));
+    };
     m_local = std::make_unique<http_server>(m_context, settings.localAddress, limits, local, malformed);
-    const auto admin = [this](const http_request &request, const std::shared_ptr<http_exchange> &exchange) { handleAdmin(request, exchange); };
+    const auto admin = [this](const http_request &request, const std::shared_ptr<http_exchange> &exchange) {
+        handleAdmin(request, exchange);
+    };
     m_admin = std::make_unique<http_server>(m_context, settings.adminAddress, limits, admin, malformed);
     if (!settings.edgeAddress.empty()) {
-        const auto edge
-            = [this](http_request request, std::shared_ptr<http_exchange> exchange) { m_entry.handleEdge(std::move(request), std::move(exchange)); };
+        const auto edge = [this](http_request request, std::shared_ptr<http_exchange> exchange) {
+            m_entry.handleEdge(std::move(request), std::move(exchange));
+        };
         m_edge = std::make_unique<http_server>(m_context, settings.edgeAddress, limits, edge, malformed);
     }
 }
@@ -107,10 +133,18 @@
 peer_server_hooks daemon_process::peerHooks()
 {
     peer_server_hooks hooks;
-    hooks.call = [this](peer_call call, const std::function<void(peer_reply)> &handler) { return m_gate.handle(std::move(call), handler); };
-    hooks.voidTicket = [this](std::string_view text) { return voidTicketHere(m_core, text); };
-    hooks.exchange = [this](const exchange_request &request) { return m_fleet->answerExchange(request); };
-    hooks.ask = [this](const std::string &query, clock_ms, const std::function<void(std::string)> &handler) { handler(answerAsk(query, *m_operatorHooks)); };
+    hooks.call = [this](peer_call call, const std::function<void(peer_reply)> &handler) {
+        return m_gate.handle(std::move(call), handler);
+    };
+    hooks.voidTicket = [this](std::string_view text) {
+        return voidTicketHere(m_core, text);
+    };
+    hooks.exchange = [this](const exchange_request &request) {
+        return m_fleet->answerExchange(request);
+    };
+    hooks.ask = [this](const std::string &query, clock_ms, const std::function<void(std::string)> &handler) {
+        handler(answerAsk(query, *m_operatorHooks));
+    };
     return hooks;
 }
 
@@ -174,7 +208,7 @@
     if (request.target == "/metrics") {
         updateGauges(steadyNow());
         http_response response;
-        response.headers.push_back({ "content-type", "text/plain; version=0.0.4" });
+        response.headers.push_back({"content-type", "text/plain; version=0.0.4"});
         response.body = m_core.metrics.exposition();
         exchange->respond(std::move(response));
     } else if (request.target == "/ready") {
@@ -199,7 +233,7 @@
 
 void daemon_process::drain(std::function<void()> done)
 {
-    logEvent(log_level::info, "daemon_leaving", { { "in_flight", static_cast<std::uint64_t>(m_gate.calls()) } });
+    logEvent(log_level::info, "daemon_leaving", {{"in_flight", static_cast<std::uint64_t>(m_gate.calls())}});
     m_core.stopping = true;
     m_fleet->leave();
     m_gate.drain();
@@ -212,9 +246,9 @@
 void daemon_process::waitUntilQuiet(clock_ms since, std::function<void()> done)
 {
     const clock_ms waited = steadyNow() - since;
-    const bool noticeGiven = waited >= clock_ms{ leaveNotice };
+    const bool noticeGiven = waited >= clock_ms{leaveNotice};
     if ((noticeGiven && isQuiet()) || waited >= m_core.settings.stopTimeout) {
-        logEvent(log_level::info, "daemon_quiet", { { "waited_ms", waited.count }, { "in_flight", static_cast<std::uint64_t>(m_gate.calls()) } });
+        logEvent(log_level::info, "daemon_quiet", {{"waited_ms", waited.count}, {"in_flight", static_cast<std::uint64_t>(m_gate.calls())}});
         done();
         return;
     }
@@ -229,11 +263,14 @@
 void daemon_process::stop()
 {
     m_ended = true;
-    m_peerServer->stop(clock_ms{ shutdownGrace });
+    m_peerServer->stop(clock_ms{shutdownGrace});
     m_fleet->stop();
     m_core.peers.stop();
-    m_local->drain();
-    m_admin->drain();
+    if (m_edge) {
+        m_edge->close();
+    }
+    m_local->close();
+    m_admin->close();
     m_gateTimer.cancel();
     m_housekeepingTimer.cancel();
 }
--- a/src/daemon/daemon_ticks.cpp
+++ b/src/daemon/daemon_ticks.cpp
@@ -1,13 +1,17 @@
 /** @file daemon_ticks.cpp What a daemon does by the clock. */
 
 #include "core/invariant_func.h"
+#include "core/log_func.h"
 #include "daemon/daemon_base.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::int64_t gatePeriod = 5; // Milliseconds.
-constexpr std::int64_t housekeepingPeriod = 250; // Milliseconds.
+constexpr std::int64_t housekeepingPeriod = 100; // Milliseconds.
+constexpr std::int64_t longestWaitForPeers = 2'000; // Milliseconds until a daemon that hears of no other serves alone.
 } // namespace
 
 void daemon_process::gateTick()
@@ -33,6 +37,7 @@
     m_backend.tick(now);
     m_core.tickets.tick(wallNow());
     m_core.peers.dropUnused(now);
+    openEdgeIfReady(now);
     m_housekeepingTimer.expires_after(std::chrono::milliseconds(housekeepingPeriod));
     m_housekeepingTimer.async_wait([this](boost::system::error_code cancelled) {
         if (!cancelled) {
@@ -41,6 +46,16 @@
     });
 }
 
+void daemon_process::openEdgeIfReady(clock_ms now)
+{
+    const bool knowsPeers = m_fleet->view()->size() > 1 || now - m_startedAt >= clock_ms{longestWaitForPeers};
+    if (m_edge && !m_edgeOpen && isReady() && knowsPeers) {
+        m_edgeOpen = true;
+        m_edge->open();
+        logEvent(log_level::info, "edge_open", {{"members", static_cast<std::uint64_t>(m_fleet->view()->size())}});
+    }
+}
+
 void daemon_process::updateGauges(clock_ms now)
 {
     const gate_snapshot gate = m_gate.snapshot(now);
@@ -54,8 +69,15 @@
     const fleet_counters counters = m_fleet->counters();
     m_core.metrics.setGauge("gossip_bytes_sent", static_cast<double>(counters.gossipBytesSent));
     m_core.metrics.setGauge("gossip_bytes_received", static_cast<double>(counters.gossipBytesReceived));
+    m_core.metrics.setGauge("exchange_bytes_sent", static_cast<double>(counters.exchangeBytesSent));
+    m_core.metrics.setGauge("exchange_bytes_received", static_cast<double>(counters.exchangeBytesReceived));
     m_core.metrics.setGauge("exchanges", static_cast<double>(counters.exchanges));
     m_core.metrics.setGauge("platform_calls", static_cast<double>(counters.platformCalls));
+    double generations = 0;
+    for (const object_generation &known : m_fleet->config().generations()) {
+        generations += static_cast<double>(known.generation);
+    }
+    m_core.metrics.setGauge("generations_in_force_sum", generations);
     m_core.metrics.setGauge("stale_offers", static_cast<double>(counters.staleOffers));
     for (std::size_t index = 0; index < static_cast<std::size_t>(invariant::count); ++index) {
         const auto which = static_cast<invariant>(index);
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -11,9 +11,11 @@
 #include <optional>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t replyGrace = 25; ///< Milliseconds after the deadline in which a gate's own word on it still counts.
 
@@ -133,22 +135,28 @@
         peer_call call;
         call.request = m_request;
         call.request.context.retryAllowance = m_part;
-        call.attempt = call_id{ secureRandom() | 1U };
+        call.attempt = call_id{secureRandom() | 1U};
         call.homeIncarnation = chosen.incarnation;
-        auto ended = [self = shared_from_this(), chosen](peer_failure failure, peer_reply reply) { self->attemptEnded(chosen, failure, std::move(reply)); };
+        auto ended = [self = shared_from_this(), chosen](peer_failure failure, peer_reply reply) {
+            self->attemptEnded(chosen, failure, std::move(reply));
+        };
         armCancel(chosen.host == m_core.settings.host ? sendHere(std::move(call), std::move(ended)) : sendToPeer(chosen, call, std::move(ended)));
     }
 
     std::function<void()> sendHere(peer_call call, peer_reply_handler ended)
     {
-        return m_gate.handle(std::move(call), [ended = std::move(ended)](peer_reply reply) { ended(peer_failure::none, std::move(reply)); });
+        return m_gate.handle(std::move(call), [ended = std::move(ended)](peer_reply reply) {
+            ended(peer_failure::none, std::move(reply));
+        });
     }
 
     std::function<void()> sendToPeer(const upstream &chosen, const peer_call &call, peer_reply_handler ended)
     {
-        const clock_ms timeLimit = m_request.context.deadline - steadyNow() + clock_ms{ replyGrace };
+        const clock_ms timeLimit = m_request.context.deadline - steadyNow() + clock_ms{replyGrace};
         const auto pending = m_core.peers.call(chosen.peerAddress, call, timeLimit, std::move(ended));
-        return [pending] { pending->cancel(); };
+        return [pending] {
+            pending->cancel();
+        };
     }
 
     void armCancel(const std::function<void()> &cancelAttempt)
@@ -266,7 +274,9 @@
     /** Makes the next attempt from a fresh stack: an attempt may end before it has returned. */
     void again()
     {
-        boost::asio::post(m_core.context, [self = shared_from_this()] { self->attempt(); });
+        boost::asio::post(m_core.context, [self = shared_from_this()] {
+            self->attempt();
+        });
     }
 
     void finish(call_result result)
--- a/src/daemon/dispatcher_base.h
+++ b/src/daemon/dispatcher_base.h
@@ -7,7 +7,8 @@
 
 #include <functional>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using call_handler = std::function<void(call_result)>;
 
--- a/src/daemon/entry_control.cpp
+++ b/src/daemon/entry_control.cpp
@@ -7,9 +7,11 @@
 
 #include <boost/json.hpp>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr unsigned ok = 200;
 constexpr unsigned badRequest = 400;
 constexpr unsigned notFound = 404;
@@ -93,7 +95,7 @@
     issued.homeIncarnation = home->incarnation;
     issued.service = headers.service;
     issued.operation = headers.operation;
-    issued.expiry = wallNow() + clock_ms{ ticketLifetime };
+    issued.expiry = wallNow() + clock_ms{ticketLifetime};
     boost::json::object body;
     body["ticket"] = encodeTicket(issued, m_core.settings.fleetKey);
     body["expires_ms"] = ticketLifetime;
@@ -109,7 +111,9 @@
         exchange->respond(makeError(badRequest, toString(failure.reason()), failure.what()));
         return;
     }
-    settleTicket(text, [exchange](bool voided) { exchange->respond(makeVoidResponse(voided)); });
+    settleTicket(text, [exchange](bool voided) {
+        exchange->respond(makeVoidResponse(voided));
+    });
 }
 
 void call_entry::settleTicket(std::string_view ticketText, std::function<void(bool voided)> settled)
@@ -130,7 +134,7 @@
         settled(false);
         return;
     }
-    m_core.peers.voidTicket(home->peerAddress, ticketText, clock_ms{ voidTimeout }, std::move(settled));
+    m_core.peers.voidTicket(home->peerAddress, ticketText, clock_ms{voidTimeout}, std::move(settled));
 }
 
 bool call_entry::isHomeOf(std::string_view ticketText, std::string_view host) const
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -7,9 +7,11 @@
 
 #include <atomic>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t levelsInReply = 8; ///< Levels of other gates that a reply passes on.
 } // namespace
 
@@ -33,7 +35,7 @@
     bool beginTicket(const std::shared_ptr<detail::gated_call> &call, const gate_reply_handler &handler);
 
     /** Runs an action on the gate and then carries out its decisions. */
-    template <typename Action>
+    template<typename Action>
     void decide(Action &&action)
     {
         std::vector<gate_decision> decisions;
@@ -58,14 +60,24 @@
 
 void gate_service::state::makeHooks()
 {
-    hooks.finished = [this](call_id call, work_end end) { decide([&](auto &decisions) { admission.finish(call, end, steadyNow(), decisions); }); };
+    hooks.finished = [this](call_id call, work_end end) {
+        decide([&](auto &decisions) {
+            admission.finish(call, end, steadyNow(), decisions);
+        });
+    };
     hooks.withdraw = [this](call_id call) {
         bool wasWaiting = false;
-        decide([&](auto &decisions) { wasWaiting = admission.withdraw(call, steadyNow(), decisions); });
+        decide([&](auto &decisions) {
+            wasWaiting = admission.withdraw(call, steadyNow(), decisions);
+        });
         return wasWaiting;
     };
-    hooks.over = [this](call_id call) { forget(call); };
-    hooks.describe = [this](peer_reply &reply) { describe(reply); };
+    hooks.over = [this](call_id call) {
+        forget(call);
+    };
+    hooks.describe = [this](peer_reply &reply) {
+        describe(reply);
+    };
 }
 
 void gate_service::state::submit(const std::shared_ptr<detail::gated_call> &call)
@@ -74,7 +86,9 @@
         const std::lock_guard lock(callsMutex);
         calls[call->call().attempt] = call;
     }
-    decide([&](auto &decisions) { admission.submit(call->describe(), steadyNow(), decisions); });
+    decide([&](auto &decisions) {
+        admission.submit(call->describe(), steadyNow(), decisions);
+    });
 }
 
 void gate_service::state::apply(const std::vector<gate_decision> &decisions)
@@ -135,7 +149,7 @@
     reply.levels = core.levels.known(now, levelsInReply);
     const auto server = backend.current();
     if (!server->service.empty()) {
-        reply.levels.push_back({ server->service, core.settings.host, seen.level, clock_ms{ 0 } });
+        reply.levels.push_back({server->service, core.settings.host, seen.level, clock_ms{0}});
     }
 }
 
@@ -248,12 +262,16 @@
 
 void gate_service::tick(clock_ms now)
 {
-    m_state->decide([&](auto &decisions) { m_state->admission.tick(now, decisions); });
+    m_state->decide([&](auto &decisions) {
+        m_state->admission.tick(now, decisions);
+    });
 }
 
 void gate_service::drain()
 {
-    m_state->decide([&](auto &decisions) { m_state->admission.refuseAll(outcome_reason::draining, steadyNow(), decisions); });
+    m_state->decide([&](auto &decisions) {
+        m_state->admission.refuseAll(outcome_reason::draining, steadyNow(), decisions);
+    });
 }
 
 gate_snapshot gate_service::snapshot(clock_ms now) const
--- a/src/daemon/gate_service_base.h
+++ b/src/daemon/gate_service_base.h
@@ -13,9 +13,11 @@
 #include <unordered_map>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace detail {
+namespace detail
+{
 class gated_call;
 }
 
--- a/src/daemon/gated_call.cpp
+++ b/src/daemon/gated_call.cpp
@@ -8,9 +8,11 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::int64_t cancelRepeat = 500; // Milliseconds between two requests to cancel.
 
 std::chrono::steady_clock::time_point toChrono(clock_ms instant)
@@ -99,7 +101,9 @@
     m_core.ledger.open(m_call.attempt, m_call.request.context.retryAllowance);
     m_ledgerOpen = true;
     armDeadline();
-    auto pending = server->client->send(forwardedRequest(), [self = shared_from_this()](http_result result) { self->answered(std::move(result)); });
+    auto pending = server->client->send(forwardedRequest(), [self = shared_from_this()](http_result result) {
+        self->answered(std::move(result));
+    });
     const std::lock_guard lock(m_mutex);
     m_pending = std::move(pending);
 }
@@ -114,11 +118,11 @@
     forwarded.body = request.body;
     const std::string id = toHex(m_call.attempt.value);
     const std::int64_t remaining = std::max<std::int64_t>((request.context.deadline - steadyNow()).count, 1);
-    forwarded.headers.push_back({ "cicadamux-call", id });
-    forwarded.headers.push_back({ "cicadamux-context", id });
-    forwarded.headers.push_back({ "cicadamux-deadline-ms", std::to_string(remaining) });
-    forwarded.headers.push_back({ "cicadamux-service", request.service });
-    forwarded.headers.push_back({ "cicadamux-operation", request.operation });
+    forwarded.headers.push_back({"cicadamux-call", id});
+    forwarded.headers.push_back({"cicadamux-context", id});
+    forwarded.headers.push_back({"cicadamux-deadline-ms", std::to_string(remaining)});
+    forwarded.headers.push_back({"cicadamux-service", request.service});
+    forwarded.headers.push_back({"cicadamux-operation", request.operation});
     return forwarded;
 }
 
@@ -178,7 +182,9 @@
             const std::unique_lock lock(self->m_mutex);
             const bool stillRunning = self->m_stage == stage::running;
             if (!cancelled && stillRunning) {
-                boost::asio::post(self->m_core.context, [self] { self->askToCancel(); });
+                boost::asio::post(self->m_core.context, [self] {
+                    self->askToCancel();
+                });
             }
         });
     });
--- a/src/daemon/gated_call_base.h
+++ b/src/daemon/gated_call_base.h
@@ -15,7 +15,8 @@
 #include <mutex>
 #include <optional>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** What a call at the gate needs of its owner. */
 struct gated_call_hooks {
--- a/src/daemon/held_calls.cpp
+++ b/src/daemon/held_calls.cpp
@@ -2,7 +2,8 @@
 
 #include "daemon/held_calls_base.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 void held_calls::add(call_id call, const call_context &context)
 {
--- a/src/daemon/held_calls_base.h
+++ b/src/daemon/held_calls_base.h
@@ -12,7 +12,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Thread-safe. A call is held from before its first byte is sent until its work is over or given up. */
 class held_calls
--- a/src/daemon/upstream_list.cpp
+++ b/src/daemon/upstream_list.cpp
@@ -2,7 +2,8 @@
 
 #include "daemon/upstream_list_base.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 std::vector<upstream> upstream_list::update(std::span<const member_record> view, clock_ms now)
 {
@@ -32,7 +33,7 @@
     const auto before = m_known.find(record.host);
     const bool isSame = before != m_known.end() && before->second.incarnation == record.incarnation && before->second.service == record.service;
     const clock_ms since = isSame ? before->second.servingSince : now - record.servingFor;
-    kept[record.host] = { record.incarnation, record.service, since };
+    kept[record.host] = {record.incarnation, record.service, since};
     return since;
 }
 
--- a/src/daemon/upstream_list_base.h
+++ b/src/daemon/upstream_list_base.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Remembers since when each upstream serves, since a record only says for how long it had when it was made. Not thread-safe. */
 class upstream_list
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -9,18 +9,21 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
-namespace detail {
+namespace detail
+{
 clock_ms jitteredSpan(clock_ms span)
 {
-    return { (span.count / 2) + static_cast<std::int64_t>(threadRandom() % static_cast<std::uint64_t>(span.count + 1)) };
+    return {(span.count / 2) + static_cast<std::int64_t>(threadRandom() % static_cast<std::uint64_t>(span.count + 1))};
 }
 } // namespace detail
 
-namespace {
+namespace
+{
 member_record selfRecord(const daemon_settings &settings, incarnation_id incarnation)
 {
     member_record record;
@@ -49,7 +52,9 @@
     , socket(strand)
     , timer(strand)
     , table(daemonSettings.membership, selfRecord(daemonSettings, incarnation), tableHooks(), threadRandom)
-    , config([this](const std::shared_ptr<const policy_set> &policies) { policyChanged(policies); })
+    , config([this](const std::shared_ptr<const policy_set> &policies) {
+        policyChanged(policies);
+    })
     , seeds(daemonSettings.dataCenter, threadRandom)
 {
     table.addSeeds(settings.seeds);
@@ -58,11 +63,21 @@
 member_hooks fleet::state::tableHooks()
 {
     member_hooks result;
-    result.send = [this](std::string_view address, std::string datagram) { pending.datagrams.emplace_back(address, std::move(datagram)); };
-    result.viewChanged = [this] { pending.viewChanged = true; };
-    result.exchange = [this](std::string_view address) { pending.exchanges.emplace_back(address); };
-    result.digestDiffers = [this](std::string_view /*host*/, std::string_view address, std::uint64_t /*digest*/) { pending.differing.emplace_back(address); };
-    result.changeAnnounced = [this](std::string_view address, const change_announcement &change) { pending.announced.emplace_back(address, change); };
+    result.send = [this](std::string_view address, std::string datagram) {
+        pending.datagrams.emplace_back(address, std::move(datagram));
+    };
+    result.viewChanged = [this] {
+        pending.viewChanged = true;
+    };
+    result.exchange = [this](std::string_view address) {
+        pending.exchanges.emplace_back(address);
+    };
+    result.digestDiffers = [this](std::string_view /*host*/, std::string_view address, std::uint64_t /*digest*/) {
+        pending.differing.emplace_back(address);
+    };
+    result.changeAnnounced = [this](std::string_view address, const change_announcement &change) {
+        pending.announced.emplace_back(address, change);
+    };
     return result;
 }
 
@@ -75,7 +90,9 @@
         wanted = std::exchange(pending, {});
     }
     if (!wanted.empty()) {
-        boost::asio::post(strand, [self = shared_from_this(), wanted = std::move(wanted)] { self->perform(wanted); });
+        boost::asio::post(strand, [self = shared_from_this(), wanted = std::move(wanted)] {
+            self->perform(wanted);
+        });
     }
 }
 
@@ -96,7 +113,7 @@
     }
     std::map<std::string, std::vector<object_generation>> announced;
     for (const auto &[address, change] : wanted.announced) {
-        announced[address].push_back({ change.kind, change.name, change.generation, change.operation });
+        announced[address].push_back({change.kind, change.name, change.generation, change.operation});
     }
     for (const auto &[address, changes] : announced) {
         pullNamed(address, config.lackedOf(changes));
@@ -117,8 +134,10 @@
     nextLocal = now + jitteredSpan(localPeriod);
     nextInterest = now + jitteredSpan(leastInterestPeriod);
     if (platform != nullptr) {
-        const auto offer = [this](std::span<const platform_object> objects) { offerObjects(objects); };
-        for (const std::string_view kind : { rankTableKind, servicePolicyKind }) {
+        const auto offer = [this](std::span<const platform_object> objects) {
+            offerObjects(objects);
+        };
+        for (const std::string_view kind : {rankTableKind, servicePolicyKind}) {
             watches.push_back(std::make_shared<policy_watch>(std::string(kind), settings.platformWatch, offer, threadRandom));
         }
     }
@@ -147,7 +166,9 @@
 void fleet::state::tick()
 {
     const clock_ms now = steadyNow();
-    withTable([now](member_table &members) { members.tick(now); });
+    withTable([now](member_table &members) {
+        members.tick(now);
+    });
     tickComparisons(now);
     if (now >= nextDuties) {
         nextDuties = now + dutyPeriod;
@@ -170,7 +191,7 @@
     }
     constexpr std::int64_t microsecondsInMillisecond = 1'000;
     const auto size = static_cast<std::int64_t>(view->size());
-    nextView = now + std::max(viewGap, clock_ms{ size * viewGapMicroseconds / microsecondsInMillisecond });
+    nextView = now + std::max(viewGap, clock_ms{size * viewGapMicroseconds / microsecondsInMillisecond});
     published.publish(view);
     callHook([&] {
         if (hooks.viewChanged) {
@@ -199,7 +220,13 @@
 void fleet::state::leave()
 {
     logEvent(log_level::info, "fleet_leaving", {});
-    withTable([](member_table &members) { members.updateSelf([](member_record &record) { record.state = member_state::leaving; }, steadyNow()); });
+    withTable([](member_table &members) {
+        members.updateSelf(
+            [](member_record &record) {
+                record.state = member_state::leaving;
+            },
+            steadyNow());
+    });
 }
 
 void fleet::state::stop()
--- a/src/fleet/fleet_answer.cpp
+++ b/src/fleet/fleet_answer.cpp
@@ -7,7 +7,8 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
@@ -30,9 +31,9 @@
     withTable([&](member_table &members) {
         members.merge(request.members, steadyNow());
         if (request.scope == exchange_scope::full) {
-            reply.members = request.filter.services.empty() ? members.records() : members.recordsOf(request.filter, ~std::uint64_t{ 0 });
+            reply.members = request.filter.services.empty() ? members.records() : members.recordsOf(request.filter, ~std::uint64_t{0});
             if (!request.filter.services.empty()) {
-                const auto neighbours = members.recordsOf({ request.senderDataCenter, {} }, ~std::uint64_t{ 0 });
+                const auto neighbours = members.recordsOf({request.senderDataCenter, {}}, ~std::uint64_t{0});
                 reply.members.insert(reply.members.end(), neighbours.begin(), neighbours.end());
             }
             return;
@@ -47,7 +48,7 @@
             return;
         }
         for (std::size_t bucket = 0; bucket < parts; ++bucket) {
-            reply.memberBuckets |= std::uint64_t{ own[bucket] != request.memberDigests[bucket] } << bucket;
+            reply.memberBuckets |= std::uint64_t{own[bucket] != request.memberDigests[bucket]} << bucket;
         }
         reply.members = members.recordsOf(request.filter, reply.memberBuckets);
     });
@@ -72,8 +73,9 @@
     if (!reply.wanted.empty()) {
         std::vector<object_generation> wanted = reply.wanted;
         wanted.resize(std::min(wanted.size(), maxObjectsInReply));
-        boost::asio::post(strand,
-                          [self = shared_from_this(), address = request.senderAddress, wanted = std::move(wanted)] { self->pullNamed(address, wanted); });
+        boost::asio::post(strand, [self = shared_from_this(), address = request.senderAddress, wanted = std::move(wanted)] {
+            self->pullNamed(address, wanted);
+        });
     }
 }
 
--- a/src/fleet/fleet_base.h
+++ b/src/fleet/fleet_base.h
@@ -17,7 +17,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** What an exchange is about. */
 enum class exchange_scope : std::uint8_t {
--- a/src/fleet/fleet_configuration.cpp
+++ b/src/fleet/fleet_configuration.cpp
@@ -6,7 +6,8 @@
 
 #include <boost/asio/post.hpp>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
@@ -30,11 +31,11 @@
     const clock_ms now = steadyNow();
     std::vector<change_announcement> changes;
     for (const object_generation &object : config.generations()) {
-        object_generation &held = known[{ object.kind, object.name }];
+        object_generation &held = known[{object.kind, object.name}];
         if (held != object) {
             held = object;
-            changes.push_back({ object.kind, object.name, object.generation, object.operation });
-            pulls.erase({ object.kind, object.name });
+            changes.push_back({object.kind, object.name, object.generation, object.operation});
+            pulls.erase({object.kind, object.name});
         }
     }
     if (changes.empty()) {
@@ -42,7 +43,11 @@
     }
     configurationChangedAt = now;
     withTable([&](member_table &members) {
-        members.updateSelf([this](member_record &record) { record.configurationDigest = config.digest(); }, now);
+        members.updateSelf(
+            [this](member_record &record) {
+                record.configurationDigest = config.digest();
+            },
+            now);
         if (changes.size() > maxAnnounced) {
             return; // A daemon that has just come; the others have them.
         }
@@ -100,7 +105,7 @@
 void fleet::state::offerObjects(std::span<const platform_object> objects)
 {
     for (const platform_object &object : objects) {
-        config.offer({ object.kind, object.name, 0, object.value });
+        config.offer({object.kind, object.name, 0, object.value});
     }
 }
 
@@ -112,7 +117,9 @@
     ++platformCalls;
     platform->list(seedListKind, [weak = weak_from_this(), holds](const platform_result<platform_changes> &result) {
         if (const auto self = weak.lock()) {
-            boost::asio::post(self->strand, [self, result, holds] { self->seedsListed(result, holds); });
+            boost::asio::post(self->strand, [self, result, holds] {
+                self->seedsListed(result, holds);
+            });
         }
     });
 }
@@ -123,7 +130,9 @@
         return;
     }
     const std::vector<std::string> addresses = seeds.finished(result, steadyNow());
-    withTable([&](member_table &members) { members.addSeeds(addresses); });
+    withTable([&](member_table &members) {
+        members.addSeeds(addresses);
+    });
     if (!mayWrite || result.failure != platform_failure::none) {
         return;
     }
@@ -140,7 +149,7 @@
     ++platformCalls;
     platform->put(seedListKind, settings.dataCenter, write->value, write->ifVersion, [](const platform_result<std::uint64_t> &written) {
         // A lost race or answer is left to the next look, a minute later.
-        logEvent(log_level::info, "seed_list_written", { { "failed", written.failure != platform_failure::none } });
+        logEvent(log_level::info, "seed_list_written", {{"failed", written.failure != platform_failure::none}});
     });
 }
 
--- a/src/fleet/fleet_exchange.cpp
+++ b/src/fleet/fleet_exchange.cpp
@@ -7,7 +7,8 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
@@ -43,7 +44,9 @@
             }
         });
     };
-    callHook([&] { hooks.exchange(address, *asked, std::move(handler)); });
+    callHook([&] {
+        hooks.exchange(address, *asked, std::move(handler));
+    });
 }
 
 void fleet::state::replied(const std::string &address, const exchange_request &request, const exchange_reply &reply)
@@ -100,7 +103,7 @@
 void fleet::state::compareMembers(const std::string &address, const std::string &dataCenter, const std::vector<std::string> &services)
 {
     exchange_request request = newRequest(exchange_scope::compare);
-    request.filter = { dataCenter, services };
+    request.filter = {dataCenter, services};
     {
         const std::lock_guard lock(tableMutex);
         request.memberDigests = table.digests(request.filter, 1);
@@ -118,20 +121,22 @@
 void fleet::state::pullNamed(const std::string &address, const std::vector<object_generation> &wanted)
 {
     const clock_ms now = steadyNow();
-    std::erase_if(pulls, [now](const auto &item) { return item.second.second <= now; });
+    std::erase_if(pulls, [now](const auto &item) {
+        return item.second.second <= now;
+    });
     exchange_request request = newRequest(exchange_scope::named);
     for (const object_generation &object : wanted) {
-        const change_announcement change{ object.kind, object.name, object.generation, object.operation };
-        const auto found = pulls.find({ object.kind, object.name });
+        const change_announcement change{object.kind, object.name, object.generation, object.operation};
+        const auto found = pulls.find({object.kind, object.name});
         if (found != pulls.end() && found->second.first >= change) {
             continue; // Another announcer has been asked.
         }
         if (pulls.size() >= maxPulls || exchanging.contains(address)) {
             break;
         }
-        pulls[{ object.kind, object.name }] = { change, now + namedPullTime };
-        object_generation own{ object.kind, object.name, 0, 0 };
-        const auto held = known.find({ object.kind, object.name });
+        pulls[{object.kind, object.name}] = {change, now + namedPullTime};
+        object_generation own{object.kind, object.name, 0, 0};
+        const auto held = known.find({object.kind, object.name});
         request.generations.push_back(held != known.end() ? held->second : own);
     }
     if (!request.generations.empty()) {
@@ -148,7 +153,7 @@
         return;
     }
     const auto growth = static_cast<std::int64_t>(1 + (known.size() / pullGapObjects));
-    nextPull = now + jitteredSpan(isEmpty ? emptyPullGap : clock_ms{ pullGap.count * growth });
+    nextPull = now + jitteredSpan(isEmpty ? emptyPullGap : clock_ms{pullGap.count * growth});
     pullConfiguration(address);
 }
 
@@ -176,7 +181,7 @@
             const bool asksAll = interests.empty() && (others.empty() || threadRandom() % allShare == 0);
             const std::string &other = others.empty() ? settings.dataCenter : others[threadRandom() % others.size()];
             const auto size = static_cast<std::int64_t>(published.load()->size());
-            const clock_ms abroad = std::max(leastInterestPeriod, clock_ms{ size * interestShare });
+            const clock_ms abroad = std::max(leastInterestPeriod, clock_ms{size * interestShare});
             nextInterest = now + jitteredSpan(interests.empty() ? localPeriod : abroad);
             if (asksAll) { // Finds a data centre that is unknown here, and neighbours that only others know.
                 due.emplace_back(table.randomPeer(other), std::string(), interests);
--- a/src/fleet/fleet_socket.cpp
+++ b/src/fleet/fleet_socket.cpp
@@ -9,12 +9,14 @@
 #include <charconv>
 #include <optional>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 using boost::asio::ip::udp;
 
-namespace {
+namespace
+{
 /** The gossip socket can't be bound. */
 class bind_error : public error
 {
@@ -73,7 +75,9 @@
         }
         if (!failure) {
             self->bytesReceived += size;
-            self->withTable([&](member_table &members) { members.receive(formatEndpoint(self->sender), { self->buffer.data(), size }, steadyNow()); });
+            self->withTable([&](member_table &members) {
+                members.receive(formatEndpoint(self->sender), {self->buffer.data(), size}, steadyNow());
+            });
         }
         self->receive();
     };
@@ -99,7 +103,11 @@
         if (table.self().state != member_state::leaving) {
             return;
         }
-        table.updateSelf([](member_record &record) { record.state = member_state::dead; }, steadyNow());
+        table.updateSelf(
+            [](member_record &record) {
+                record.state = member_state::dead;
+            },
+            steadyNow());
         last = std::exchange(pending, {});
     }
     // A socket of its own: the strand's may be in use, and its context may be about to end.
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -19,23 +19,25 @@
 #include <set>
 #include <utility>
 
-namespace cicadamux {
-
-namespace detail {
-constexpr clock_ms tickPeriod{ 50 }; ///< Between two ticks of the member table.
-constexpr clock_ms dutyPeriod{ 200 }; ///< Between two looks at the duties.
-constexpr clock_ms remotePeriod{ 1'000 }; ///< Between two comparisons of a duty holder with each other data centre; jittered.
-constexpr clock_ms localPeriod{ 5'000 }; ///< Between two comparisons with a member of the own data centre; jittered.
-constexpr clock_ms leastInterestPeriod{ 10'000 }; ///< Least time between two comparisons of a daemon with interests with another data centre; jittered.
+namespace cicadamux
+{
+
+namespace detail
+{
+constexpr clock_ms tickPeriod{50}; ///< Between two ticks of the member table.
+constexpr clock_ms dutyPeriod{200}; ///< Between two looks at the duties.
+constexpr clock_ms remotePeriod{1'000}; ///< Between two comparisons of a duty holder with each other data centre; jittered.
+constexpr clock_ms localPeriod{5'000}; ///< Between two comparisons with a member of the own data centre; jittered.
+constexpr clock_ms leastInterestPeriod{10'000}; ///< Least time between two comparisons of a daemon with interests with another data centre; jittered.
 constexpr std::uint64_t allShare = 4; ///< Of so many comparisons about other data centres, one is about all of them together.
 constexpr std::int64_t interestShare = 500; ///< Milliseconds for each member of the data centre in that period.
-constexpr clock_ms pullGap{ 2'000 }; ///< Between two pulls of configuration because digests differ; jittered, grows with its size.
+constexpr clock_ms pullGap{2'000}; ///< Between two pulls of configuration because digests differ; jittered, grows with its size.
 constexpr std::size_t pullGapObjects = 100; ///< Objects for which that gap grows by once itself.
-constexpr clock_ms emptyPullGap{ 200 }; ///< The same while this daemon has no configuration.
-constexpr clock_ms settleTime{ 1'000 }; ///< Time without a change of its own until a differing digest counts.
-constexpr clock_ms namedPullTime{ 500 }; ///< Until an announced change is pulled again from another announcer.
-constexpr clock_ms joinPatience{ 1'500 }; ///< Time for a peer to answer until a daemon takes on duties alone; jittered.
-constexpr clock_ms viewGap{ 50 }; ///< Least time between two publications of the view.
+constexpr clock_ms emptyPullGap{200}; ///< The same while this daemon has no configuration.
+constexpr clock_ms settleTime{1'000}; ///< Time without a change of its own until a differing digest counts.
+constexpr clock_ms namedPullTime{500}; ///< Until an announced change is pulled again from another announcer.
+constexpr clock_ms joinPatience{1'500}; ///< Time for a peer to answer until a daemon takes on duties alone; jittered.
+constexpr clock_ms viewGap{50}; ///< Least time between two publications of the view.
 constexpr std::int64_t viewGapMicroseconds = 20; ///< For each member, if that is longer.
 constexpr std::size_t maxObjectsInReply = 64;
 constexpr std::size_t maxExchanges = 16; ///< Under way at a time.
@@ -78,7 +80,7 @@
     member_hooks tableHooks();
     void withTable(const std::function<void(member_table &)> &work);
     void perform(const effects &wanted);
-    template <typename Call>
+    template<typename Call>
     void callHook(Call call)
     {
         const std::lock_guard lock(hookMutex);
@@ -128,7 +130,7 @@
     boost::asio::ip::udp::endpoint sender;
 
     std::recursive_mutex hookMutex; ///< Held while a hook runs, so that stop() can wait for it.
-    std::atomic<bool> isStopped{ false };
+    std::atomic<bool> isStopped{false};
 
     std::mutex tableMutex; ///< Guards `table` and `pending`.
     member_table table;
@@ -154,17 +156,18 @@
     bool isViewDue = false;
     bool hasJoined = false; ///< A neighbour has answered, or none did in time: duties are taken on.
     bool isFilled = false; ///< A neighbour has given all its records; from then on only differences are asked for.
-    std::atomic<bool> isAnnouncePosted{ false };
-
-    std::atomic<std::uint64_t> bytesSent{ 0 };
-    std::atomic<std::uint64_t> bytesReceived{ 0 };
-    std::atomic<std::uint64_t> exchanges{ 0 };
-    std::atomic<std::uint64_t> exchangeBytesSent{ 0 };
-    std::atomic<std::uint64_t> exchangeBytesReceived{ 0 };
-    std::atomic<std::uint64_t> platformCalls{ 0 };
+    std::atomic<bool> isAnnouncePosted{false};
+
+    std::atomic<std::uint64_t> bytesSent{0};
+    std::atomic<std::uint64_t> bytesReceived{0};
+    std::atomic<std::uint64_t> exchanges{0};
+    std::atomic<std::uint64_t> exchangeBytesSent{0};
+    std::atomic<std::uint64_t> exchangeBytesReceived{0};
+    std::atomic<std::uint64_t> platformCalls{0};
 };
 
-namespace detail {
+namespace detail
+{
 /** @return A random span between half and one and a half of the given one. */
 clock_ms jitteredSpan(clock_ms span);
 } // namespace detail
--- a/src/fleet/policy_watch.cpp
+++ b/src/fleet/policy_watch.cpp
@@ -6,15 +6,17 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
-constexpr clock_ms takeOverDelay{ 300 }; ///< Before the first list of a new holder; jittered.
-constexpr clock_ms relistPeriod{ 300'000 }; ///< Between two lists while all is well; jittered.
-constexpr clock_ms firstBackoff{ 500 }; ///< Wait after the first failure; doubles with each; jittered.
-constexpr clock_ms greatestBackoff{ 8'000 }; ///< Greatest wait after a failure, before the jitter.
-constexpr clock_ms budgetWait{ 5'000 }; ///< Wait after the daemon's own budget was empty; jittered.
-constexpr clock_ms hastyWait{ 500 }; ///< Wait after a watch that ended early without news; jittered.
+namespace
+{
+constexpr clock_ms takeOverDelay{300}; ///< Before the first list of a new holder; jittered.
+constexpr clock_ms relistPeriod{300'000}; ///< Between two lists while all is well; jittered.
+constexpr clock_ms firstBackoff{500}; ///< Wait after the first failure; doubles with each; jittered.
+constexpr clock_ms greatestBackoff{8'000}; ///< Greatest wait after a failure, before the jitter.
+constexpr clock_ms budgetWait{5'000}; ///< Wait after the daemon's own budget was empty; jittered.
+constexpr clock_ms hastyWait{500}; ///< Wait after a watch that ended early without news; jittered.
 constexpr std::uint32_t maxDoublings = 8;
 } // namespace
 
@@ -38,7 +40,7 @@
 
 clock_ms policy_watch::jittered(clock_ms span) const
 {
-    return { (span.count / 2) + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(span.count + 1)) };
+    return {(span.count / 2) + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(span.count + 1))};
 }
 
 policy_watch::action policy_watch::next(bool holds, clock_ms now)
@@ -66,7 +68,7 @@
         return;
     }
     if (m_failures > 0) {
-        logEvent(log_level::info, "platform_back", { { "kind", m_kind }, { "failures", m_failures } });
+        logEvent(log_level::info, "platform_back", {{"kind", m_kind}, {"failures", m_failures}});
     }
     m_failures = 0;
     m_offer(result.value.items);
@@ -80,7 +82,7 @@
 void policy_watch::listed(const platform_changes &changes, clock_ms now)
 {
     if (changes.cursor < m_cursor) {
-        logEvent(log_level::warning, "platform_went_back", { { "kind", m_kind }, { "cursor", changes.cursor }, { "before", m_cursor } });
+        logEvent(log_level::warning, "platform_went_back", {{"kind", m_kind}, {"cursor", changes.cursor}, {"before", m_cursor}});
     }
     m_cursor = changes.cursor;
     m_isListed = true;
@@ -114,10 +116,10 @@
     }
     const std::uint32_t doublings = std::min(m_failures, maxDoublings);
     ++m_failures;
-    const clock_ms wait{ std::min(firstBackoff.count << doublings, greatestBackoff.count) };
+    const clock_ms wait{std::min(firstBackoff.count << doublings, greatestBackoff.count)};
     m_nextCall = now + jittered(wait);
     if (m_failures == 1) {
-        logEvent(log_level::warning, "platform_failed", { { "kind", m_kind }, { "failure", toString(failure) } });
+        logEvent(log_level::warning, "platform_failed", {{"kind", m_kind}, {"failure", toString(failure)}});
     }
 }
 
--- a/src/fleet/policy_watch_base.h
+++ b/src/fleet/policy_watch_base.h
@@ -12,7 +12,8 @@
 #include <span>
 #include <string>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** Takes in objects that the platform answered. */
 using objects_hook = std::function<void(std::span<const platform_object> objects)>;
--- a/src/fleet/seed_directory.cpp
+++ b/src/fleet/seed_directory.cpp
@@ -8,16 +8,18 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxAddresses = 64; ///< Read from one object.
 constexpr std::size_t wantedAddresses = 16; ///< Written into one object.
-constexpr clock_ms alonePatience{ 500 }; ///< Time for the settings' seeds to answer; jittered.
-constexpr clock_ms aloneBackoff{ 1'000 }; ///< Between two reads while alone; doubles; jittered.
+constexpr clock_ms alonePatience{500}; ///< Time for the settings' seeds to answer; jittered.
+constexpr clock_ms aloneBackoff{1'000}; ///< Between two reads while alone; doubles; jittered.
 constexpr std::uint32_t maxDoublings = 4;
-constexpr clock_ms dutyDelay{ 4'000 }; ///< From the start to a holder's first look; jittered.
-constexpr clock_ms dutyPeriod{ 60'000 }; ///< Between two looks of a holder; jittered.
+constexpr clock_ms dutyDelay{4'000}; ///< From the start to a holder's first look; jittered.
+constexpr clock_ms dutyPeriod{60'000}; ///< Between two looks of a holder; jittered.
 } // namespace
 
 std::optional<std::vector<std::string>> parseSeedList(std::string_view json)
@@ -46,7 +48,7 @@
     for (const std::string &address : addresses) {
         list.emplace_back(address);
     }
-    return boost::json::serialize(boost::json::object{ { "addresses", std::move(list) } });
+    return boost::json::serialize(boost::json::object{{"addresses", std::move(list)}});
 }
 
 seed_directory::seed_directory(std::string dataCenter, random_source random)
@@ -57,7 +59,7 @@
 
 clock_ms seed_directory::jittered(clock_ms span) const
 {
-    return { (span.count / 2) + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(span.count + 1)) };
+    return {(span.count / 2) + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(span.count + 1))};
 }
 
 bool seed_directory::isListDue(bool isAlone, bool holds, clock_ms now)
@@ -83,7 +85,7 @@
     m_isBusy = false;
     const std::uint32_t doublings = std::min(m_reads, maxDoublings);
     ++m_reads;
-    m_nextAlone = now + jittered({ aloneBackoff.count << doublings });
+    m_nextAlone = now + jittered({aloneBackoff.count << doublings});
     m_nextDuty = now + jittered(dutyPeriod);
     std::vector<std::string> addresses;
     if (result.failure != platform_failure::none) {
@@ -94,7 +96,7 @@
     for (const platform_object &object : result.value.items) {
         const auto seeds = parseSeedList(object.value);
         if (!seeds) {
-            logEvent(log_level::warning, "seed_list_invalid", { { "name", object.name }, { "version", object.version } });
+            logEvent(log_level::warning, "seed_list_invalid", {{"name", object.name}, {"version", object.version}});
         }
         if (object.name == m_dataCenter) {
             m_own = seeds.value_or(std::vector<std::string>{});
@@ -109,8 +111,9 @@
 
 std::optional<seed_write> seed_directory::writeAfterList(std::span<const std::string> alive) const
 {
-    const auto named
-        = static_cast<std::size_t>(std::ranges::count_if(m_own, [&](const std::string &address) { return std::ranges::find(alive, address) != alive.end(); }));
+    const auto named = static_cast<std::size_t>(std::ranges::count_if(m_own, [&](const std::string &address) {
+        return std::ranges::find(alive, address) != alive.end();
+    }));
     const std::size_t wanted = std::min(wantedAddresses, alive.size());
     if (named * 2 >= wanted && named * 2 >= m_own.size()) {
         return std::nullopt;
@@ -120,7 +123,7 @@
         std::swap(chosen[rest - 1], chosen[m_random() % rest]);
     }
     chosen.resize(wanted);
-    return seed_write{ formatSeedList(chosen), m_version };
+    return seed_write{formatSeedList(chosen), m_version};
 }
 
 } // namespace cicadamux::detail
--- a/src/fleet/seed_directory_base.h
+++ b/src/fleet/seed_directory_base.h
@@ -15,7 +15,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 constexpr std::string_view seedListKind = "seed_list"; ///< Kind of the objects; the name is the data centre.
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -15,13 +15,15 @@
 #include <optional>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t connectTimeout = 1'000; // Milliseconds.
 
@@ -32,7 +34,7 @@
         if (field.name() == http::field::content_length || field.name() == http::field::transfer_encoding) {
             continue;
         }
-        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     return headers;
 }
@@ -43,7 +45,7 @@
 struct client_pool {
     std::mutex mutex;
     std::vector<std::shared_ptr<client_connection>> idle; ///< The last used one is used first.
-    std::atomic<std::uint32_t> open{ 0 };
+    std::atomic<std::uint32_t> open{0};
     bool closed = false;
 };
 
@@ -104,7 +106,9 @@
             return;
         }
         m_stream.expires_after(std::chrono::milliseconds(connectTimeout));
-        m_stream.async_connect(m_endpoint, [self = shared_from_this()](beast::error_code failure) { self->handleConnected(failure); });
+        m_stream.async_connect(m_endpoint, [self = shared_from_this()](beast::error_code failure) {
+            self->handleConnected(failure);
+        });
     }
 
     void fill(http_request request)
@@ -124,7 +128,7 @@
     void handleConnected(beast::error_code failure)
     {
         if (failure) {
-            finish({ http_failure::no_connection, {} });
+            finish({http_failure::no_connection, {}});
             return;
         }
         m_connected = true;
@@ -138,7 +142,7 @@
         m_stream.expires_never();
         http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code failure, std::size_t) {
             if (failure) {
-                self->finish({ http_failure::lost, {} });
+                self->finish({http_failure::lost, {}});
                 return;
             }
             self->read();
@@ -150,18 +154,20 @@
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
         m_parser->body_limit(m_limits.maxBodyBytes);
-        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) { self->handleRead(failure); });
+        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) {
+            self->handleRead(failure);
+        });
     }
 
     void handleRead(beast::error_code failure)
     {
         if (failure) {
             const bool nothingCame = !m_parser->got_some();
-            finish({ nothingCame ? http_failure::lost : http_failure::broken_answer, {} });
+            finish({nothingCame ? http_failure::lost : http_failure::broken_answer, {}});
             return;
         }
         if (m_parser->need_eof()) {
-            finish({ http_failure::broken_answer, {} });
+            finish({http_failure::broken_answer, {}});
             return;
         }
         const bool reusable = m_parser->keep_alive() && m_buffer.size() == 0;
@@ -307,7 +313,9 @@
         connection = m_state->makeConnection();
     }
     if (!connection) {
-        boost::asio::post(m_state->context, [handler = std::move(handler)] { handler({ http_failure::no_connection, {} }); });
+        boost::asio::post(m_state->context, [handler = std::move(handler)] {
+            handler({http_failure::no_connection, {}});
+        });
         return std::make_shared<pending_request>(nullptr);
     }
     const auto pending = std::make_shared<pending_request>(connection);
--- a/src/http/http_client_base.h
+++ b/src/http/http_client_base.h
@@ -12,7 +12,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Why a request got no answer. */
 enum class http_failure : std::uint8_t {
--- a/src/http/http_endpoint.cpp
+++ b/src/http/http_endpoint.cpp
@@ -6,9 +6,11 @@
 
 #include <charconv>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 std::string_view withoutBrackets(std::string_view host)
 {
     if (host.size() >= 2 && host.front() == '[' && host.back() == ']') {
@@ -35,7 +37,7 @@
     if (failure) {
         throw address_error("address '" + std::string(address) + "' is not an IP number");
     }
-    return { ip, port };
+    return {ip, port};
 }
 
 std::string formatEndpoint(const boost::asio::ip::tcp::endpoint &endpoint)
--- a/src/http/http_endpoint_func.h
+++ b/src/http/http_endpoint_func.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /**
  * Parses `IP:port` or `[IP]:port`.
--- a/src/http/http_headers.cpp
+++ b/src/http/http_headers.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <array>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::string_view reservedPrefix = "cicadamux-";
 
 char lower(char character)
@@ -34,9 +36,19 @@
 bool isHopByHop(std::string_view name)
 {
     constexpr std::array<std::string_view, 9> names = {
-        "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "proxy-authorization", "proxy-connection",
+        "connection",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "proxy-authorization",
+        "proxy-connection",
     };
-    return std::ranges::any_of(names, [name](std::string_view hopByHop) { return sameHeaderName(name, hopByHop); });
+    return std::ranges::any_of(names, [name](std::string_view hopByHop) {
+        return sameHeaderName(name, hopByHop);
+    });
 }
 
 bool isReservedHeader(std::string_view name)
@@ -48,7 +60,9 @@
 {
     std::vector<http_field> kept;
     kept.reserve(headers.size());
-    std::ranges::copy_if(headers, std::back_inserter(kept), [](const http_field &field) { return !isHopByHop(field.name) && !isReservedHeader(field.name); });
+    std::ranges::copy_if(headers, std::back_inserter(kept), [](const http_field &field) {
+        return !isHopByHop(field.name) && !isReservedHeader(field.name);
+    });
     return kept;
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -10,11 +10,13 @@
 #include <mutex>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 constexpr std::int64_t acceptPause = 50; // Milliseconds until accepting is tried again after a failure such as too many open files.
 } // namespace
 
@@ -52,9 +54,6 @@
     acceptor.open(endpoint.protocol(), failure);
     acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
     acceptor.bind(endpoint, failure);
-    if (!failure) {
-        acceptor.listen(tcp::acceptor::max_listen_connections, failure);
-    }
     if (failure) {
         throw address_error("can't listen on " + std::string(address) + ": " + failure.message());
     }
@@ -102,7 +101,9 @@
     const std::lock_guard lock(sessionsMutex);
     sessions.push_back(session);
     if (sessions.size() >= compactAt) {
-        std::erase_if(sessions, [](const auto &known) { return known.expired(); });
+        std::erase_if(sessions, [](const auto &known) {
+            return known.expired();
+        });
         compactAt = std::max<std::size_t>(sessions.size() * 2, compactAt);
     }
 }
@@ -111,12 +112,22 @@
     : m_state(std::make_shared<state>(context, limits, std::move(handler), std::move(malformed)))
 {
     m_state->bind(address);
-    m_state->accept();
+}
+
+void http_server::open()
+{
+    boost::asio::post(m_state->acceptor.get_executor(), [server = m_state] {
+        boost::system::error_code failure;
+        if (!server->shared->draining) {
+            server->acceptor.listen(tcp::acceptor::max_listen_connections, failure);
+            server->accept();
+        }
+    });
 }
 
 http_server::~http_server()
 {
-    drain();
+    close();
 }
 
 std::string http_server::boundAddress() const
@@ -132,6 +143,11 @@
         server->acceptor.close(ignored);
         server->retryTimer.cancel();
     });
+}
+
+void http_server::close()
+{
+    drain();
     const std::lock_guard lock(m_state->sessionsMutex);
     for (const auto &known : m_state->sessions) {
         if (const auto session = known.lock()) {
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -12,7 +12,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** An address can't be bound or isn't `IP:port`. */
 class address_error : public error
@@ -26,7 +27,7 @@
 {
 public:
     /**
-     * Binds and begins to accept.
+     * Binds; connections are refused until open().
      * @param address `IP:port`; port 0 takes a free one.
      * @throws address_error
      */
@@ -38,9 +39,15 @@
     /** @return `IP:port` as bound. */
     std::string boundAddress() const;
 
-    /** Accepts no more connections; those that are there are closed after their next answer, idle ones at once. */
+    /** Begins to accept. */
+    void open();
+
+    /** Accepts no more connections; those that are there are closed after their next answer. */
     void drain();
 
+    /** drain(), and closes idle connections at once. */
+    void close();
+
     /** @return Connections now open. */
     std::uint32_t connections() const;
 
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -5,13 +5,15 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 std::chrono::milliseconds toChrono(clock_ms span)
 {
     return std::chrono::milliseconds(span.count);
@@ -24,7 +26,7 @@
         if (field.name() == http::field::content_length || field.name() == http::field::transfer_encoding) {
             continue;
         }
-        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     return headers;
 }
@@ -62,13 +64,16 @@
 
 void http_session::start()
 {
-    boost::asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] { self->readFirstBytes(); });
+    boost::asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] {
+        self->readFirstBytes();
+    });
 }
 
 void http_session::refuse(http_response response)
 {
-    boost::asio::dispatch(m_stream.get_executor(),
-                          [self = shared_from_this(), response = std::move(response)]() mutable { self->write(std::move(response), false); });
+    boost::asio::dispatch(m_stream.get_executor(), [self = shared_from_this(), response = std::move(response)]() mutable {
+        self->write(std::move(response), false);
+    });
 }
 
 void http_session::closeIfIdle()
@@ -218,8 +223,9 @@
     m_response.keep_alive(keepAlive);
     m_response.prepare_payload();
     m_stream.expires_after(toChrono(m_shared->limits.requestTimeout));
-    http::async_write(
-        m_stream, m_response, [self = shared_from_this(), keepAlive](beast::error_code failure, std::size_t) { self->handleWritten(failure, keepAlive); });
+    http::async_write(m_stream, m_response, [self = shared_from_this(), keepAlive](beast::error_code failure, std::size_t) {
+        self->handleWritten(failure, keepAlive);
+    });
 }
 
 void http_session::handleWritten(beast::error_code failure, bool keepAlive)
--- a/src/http/http_session_base.h
+++ b/src/http/http_session_base.h
@@ -16,15 +16,16 @@
 #include <optional>
 #include <string>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** What the sessions of one listener share. */
 struct http_session_shared {
     http_limits limits;
     http_handler handler;
     http_malformed malformed;
-    std::atomic<bool> draining{ false }; ///< Close after the next answer.
-    std::atomic<std::uint32_t> open{ 0 }; ///< Connections now open.
+    std::atomic<bool> draining{false}; ///< Close after the next answer.
+    std::atomic<std::uint32_t> open{0}; ///< Connections now open.
 };
 
 /** Reads one request at a time, hands it over, and writes its response. */
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -15,7 +15,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** One whole request. */
 struct http_request {
@@ -38,8 +39,8 @@
     std::uint32_t maxConnections = 1'024;
     std::size_t maxHeaderBytes = 16'384;
     std::size_t maxBodyBytes = 1'048'576;
-    clock_ms idleTimeout{ 60'000 }; ///< Until an idle connection is closed.
-    clock_ms requestTimeout{ 10'000 }; ///< For a whole message to arrive after its first byte.
+    clock_ms idleTimeout{60'000}; ///< Until an idle connection is closed.
+    clock_ms requestTimeout{10'000}; ///< For a whole message to arrive after its first byte.
 };
 
 /** A request that is being answered. */
--- a/src/membership/member_store.cpp
+++ b/src/membership/member_store.cpp
@@ -7,9 +7,11 @@
 
 #include <tuple>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 auto orderOf(const member_record &record)
 {
     return std::tuple(record.incarnation, record.revision, record.state);
--- a/src/membership/member_store_base.h
+++ b/src/membership/member_store_base.h
@@ -11,7 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** One member as this daemon holds it. */
 struct member_entry {
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -5,11 +5,13 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
-namespace {
+namespace
+{
 /** Whether a change is urgent: the member is to receive no new work, or is gone. */
 bool endsWork(const member_record &before, const member_record &after)
 {
@@ -57,7 +59,7 @@
 
 clock_ms member_table::state::jittered(clock_ms span) const
 {
-    return { (span.count / 2) + static_cast<std::int64_t>(below(static_cast<std::uint64_t>(span.count) + 1)) };
+    return {(span.count / 2) + static_cast<std::int64_t>(below(static_cast<std::uint64_t>(span.count) + 1))};
 }
 
 void member_table::state::noteTime(clock_ms at)
@@ -70,7 +72,7 @@
         return;
     }
     ++counters.timeGaps;
-    logEvent(log_level::warning, "process_paused", { { "gap_ms", gap.count } });
+    logEvent(log_level::warning, "process_paused", {{"gap_ms", gap.count}});
     for (const std::string &host : timed) {
         store.find(host)->suspectedAt += gap;
     }
@@ -172,7 +174,9 @@
         ++counters.olderIncarnations;
         return;
     }
-    const auto orderOf = [](const member_record &one) { return std::tuple(one.incarnation, one.revision, one.state); };
+    const auto orderOf = [](const member_record &one) {
+        return std::tuple(one.incarnation, one.revision, one.state);
+    };
     if (own.state == member_state::dead) {
         return;
     }
@@ -184,7 +188,7 @@
     }
     ++counters.refutations;
     if (record.incarnation > own.incarnation) {
-        logEvent(log_level::warning, "own_incarnation_exceeded", { { "own", own.incarnation.value }, { "heard", record.incarnation.value } });
+        logEvent(log_level::warning, "own_incarnation_exceeded", {{"own", own.incarnation.value}, {"heard", record.incarnation.value}});
         own.incarnation.value = record.incarnation.value + 1;
     }
     own.revision = std::max(own.revision, record.revision);
@@ -251,7 +255,7 @@
         m_state->isDirty = true;
         if (!m_state->digestNewsAt) {
             const std::int64_t span = digestNewsShare * static_cast<std::int64_t>(m_state->store.size());
-            m_state->digestNewsAt = m_state->now + clock_ms{ static_cast<std::int64_t>(m_state->below(static_cast<std::uint64_t>(span))) };
+            m_state->digestNewsAt = m_state->now + clock_ms{static_cast<std::int64_t>(m_state->below(static_cast<std::uint64_t>(span)))};
         }
     }
     after.configurationDigest = before.configurationDigest;
--- a/src/membership/member_table_base.h
+++ b/src/membership/member_table_base.h
@@ -13,13 +13,14 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 struct member_settings {
-    clock_ms probePeriod{ 500 }; ///< Time between two probes.
-    clock_ms probeTimeout{ 200 }; ///< Time until indirect probes are asked for.
+    clock_ms probePeriod{500}; ///< Time between two probes.
+    clock_ms probeTimeout{200}; ///< Time until indirect probes are asked for.
     std::uint32_t indirectProbes = 3; ///< Members asked to probe on this one's behalf.
-    clock_ms suspicionTime{ 2'000 }; ///< Time until a suspect is dead; grows with the logarithm of the data centre's size.
+    clock_ms suspicionTime{2'000}; ///< Time until a suspect is dead; grows with the logarithm of the data centre's size.
     std::size_t datagramBytes = 1'200; ///< Greatest gossip datagram.
     std::uint32_t maxMembers = 32'768; ///< Records kept.
     std::vector<std::string> interests; ///< Services of other data centres to keep; empty keeps all.
--- a/src/membership/member_table_probe.cpp
+++ b/src/membership/member_table_probe.cpp
@@ -6,14 +6,16 @@
 #include <algorithm>
 #include <cmath>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
-namespace {
+namespace
+{
 clock_ms times(clock_ms span, std::uint32_t factor)
 {
-    return { span.count * factor };
+    return {span.count * factor};
 }
 } // namespace
 
@@ -33,7 +35,9 @@
     }
     nextProbe = now + settings.probePeriod;
     newsBytes = std::min(newsBytes + newsBytesPerPeriod, newsBytesSaved);
-    std::erase_if(relayed, [this](const auto &item) { return item.second.expires < now; });
+    std::erase_if(relayed, [this](const auto &item) {
+        return item.second.expires < now;
+    });
     if (!probing) {
         startProbe();
     }
@@ -63,7 +67,7 @@
         if (target == nullptr || !isLive(target->record.state)) {
             continue;
         }
-        probing = probe{ target->record.host, target->record.peerAddress, nextSequence++, now, false };
+        probing = probe{target->record.host, target->record.peerAddress, nextSequence++, now, false};
         ping(probing->address, probing->sequence, probing->host);
         return;
     }
@@ -94,7 +98,7 @@
 void member_table::state::suspect(member_entry &entry)
 {
     ++counters.suspicions;
-    logEvent(log_level::debug, "member_suspect", { { "member", entry.record.host } });
+    logEvent(log_level::debug, "member_suspect", {{"member", entry.record.host}});
     if (entry.record.state == member_state::alive) {
         member_record record = aged(entry);
         record.state = member_state::suspect;
@@ -122,7 +126,7 @@
 bool member_table::state::isSuspicionOver(const member_entry &entry) const
 {
     const double size = std::max<double>(10, static_cast<double>(store.liveCount(dataCenter)));
-    const clock_ms span{ static_cast<std::int64_t>(static_cast<double>(settings.suspicionTime.count) * std::log10(size)) };
+    const clock_ms span{static_cast<std::int64_t>(static_cast<double>(settings.suspicionTime.count) * std::log10(size))};
     const clock_ms waited = now - entry.suspectedAt;
     if (waited < span) {
         return false;
@@ -164,7 +168,7 @@
 void member_table::state::declareDead(const std::string &host)
 {
     member_record record = store.find(host)->record;
-    logEvent(log_level::info, "member_dead", { { "member", host }, { "incarnation", record.incarnation.value } });
+    logEvent(log_level::info, "member_dead", {{"member", host}, {"incarnation", record.incarnation.value}});
     record.state = member_state::dead;
     ++counters.declaredDead;
     take(record);
--- a/src/membership/member_table_query.cpp
+++ b/src/membership/member_table_query.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
@@ -32,7 +33,9 @@
 bool member_table::state::isLiveAddress(std::string_view address) const
 {
     return std::ranges::any_of(store.byDataCenter(), [&](const auto &item) {
-        return std::ranges::any_of(item.second, [&](const member_entry *entry) { return isLive(entry->record.state) && entry->record.peerAddress == address; });
+        return std::ranges::any_of(item.second, [&](const member_entry *entry) {
+            return isLive(entry->record.state) && entry->record.peerAddress == address;
+        });
     });
 }
 
@@ -67,7 +70,7 @@
         const bool isCandidate = entry->record.state == member_state::alive && entry->record.host != selfHost;
         greater += isCandidate && hashBytes(entry->record.host, dutyHash) > own ? 1 : 0;
     }
-    duties[std::string(duty)] = { store.liveVersion(), greater };
+    duties[std::string(duty)] = {store.liveVersion(), greater};
     return greater < holders;
 }
 
@@ -95,7 +98,7 @@
 
 std::vector<member_record> member_table::records() const
 {
-    return recordsOf({}, ~std::uint64_t{ 0 });
+    return recordsOf({}, ~std::uint64_t{0});
 }
 
 std::vector<member_record> member_table::view() const
--- a/src/membership/member_table_receive.cpp
+++ b/src/membership/member_table_receive.cpp
@@ -3,7 +3,8 @@
 #include "membership/member_table_state.h"
 #include "membership/member_wire_func.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
@@ -22,7 +23,7 @@
     checkSender(fromAddress, message);
     for (const wire::Object_Generation &change : message.changes()) {
         if (hooks.changeAnnounced) {
-            hooks.changeAnnounced(fromAddress, { change.kind(), change.name(), change.generation(), change.operation() });
+            hooks.changeAnnounced(fromAddress, {change.kind(), change.name(), change.generation(), change.operation()});
         }
     }
     switch (message.kind()) {
@@ -68,7 +69,7 @@
         return;
     }
     const std::uint64_t sequence = nextSequence++;
-    relayed[sequence] = { std::string(fromAddress), message.sequence(), now + settings.probePeriod };
+    relayed[sequence] = {std::string(fromAddress), message.sequence(), now + settings.probePeriod};
     ping(message.target_address(), sequence, {});
 }
 
--- a/src/membership/member_table_spread.cpp
+++ b/src/membership/member_table_spread.cpp
@@ -6,7 +6,8 @@
 #include <algorithm>
 #include <cmath>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using namespace detail;
 
@@ -43,7 +44,9 @@
 {
     sign(message);
     const std::size_t plain = message.ByteSizeLong();
-    news.fill(message, std::min(settings.datagramBytes, plain + newsBytes), sendLimit(), [this](const std::string &host) { return recordToSend(host); });
+    news.fill(message, std::min(settings.datagramBytes, plain + newsBytes), sendLimit(), [this](const std::string &host) {
+        return recordToSend(host);
+    });
     newsBytes -= std::min(newsBytes, message.ByteSizeLong() - plain);
     hooks.send(address, message.SerializeAsString());
 }
@@ -63,12 +66,12 @@
 
 void member_table::state::makeUrgent(const std::string &host, std::uint32_t rounds)
 {
-    urgentMembers[host] = { rounds, now };
+    urgentMembers[host] = {rounds, now};
 }
 
 void member_table::state::makeUrgent(const change_announcement &change, std::uint32_t rounds)
 {
-    urgentChanges[change] = { rounds, now };
+    urgentChanges[change] = {rounds, now};
 }
 
 void member_table::state::push(const wire::Gossip &message, bool abroad, bool isOwn)
@@ -143,8 +146,12 @@
         pushMembers(false);
         pushChanges();
     }
-    std::erase_if(urgentMembers, [this](const auto &item) { return item.second.rounds == 0 || store.find(item.first) == nullptr; });
-    std::erase_if(urgentChanges, [](const auto &item) { return item.second.rounds == 0; });
+    std::erase_if(urgentMembers, [this](const auto &item) {
+        return item.second.rounds == 0 || store.find(item.first) == nullptr;
+    });
+    std::erase_if(urgentChanges, [](const auto &item) {
+        return item.second.rounds == 0;
+    });
 }
 
 void member_table::state::wantExchange(std::string_view address)
@@ -162,7 +169,9 @@
         return;
     }
     nextReconnect = now + jittered(reconnectPeriod);
-    std::erase_if(lost, [this](const auto &item) { return item.second < now; });
+    std::erase_if(lost, [this](const auto &item) {
+        return item.second < now;
+    });
     std::vector<std::string> addresses = seeds;
     for (const auto &[address, until] : lost) {
         addresses.push_back(address);
--- a/src/membership/member_table_state.h
+++ b/src/membership/member_table_state.h
@@ -11,9 +11,11 @@
 #include <map>
 #include <set>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace detail {
+namespace detail
+{
 constexpr std::uint32_t retransmitFactor = 4; ///< Times log10 of the data centre's size: how often news are sent.
 constexpr std::size_t urgentFanout = 4; ///< Peers that urgent news are pushed to.
 constexpr std::size_t remoteFanout = 2; ///< Members of each other data centre that urgent news are pushed to.
@@ -21,20 +23,20 @@
 constexpr std::uint32_t ownRounds = 3; ///< Pushes of this daemon's own urgent news.
 constexpr std::size_t newsBytesPerPeriod = 1'500; ///< News in one probe period, this daemon's own urgent ones apart.
 constexpr std::size_t newsBytesSaved = 2 * newsBytesPerPeriod; ///< What quiet periods leave for busy ones.
-constexpr clock_ms pushGap{ 200 }; ///< Between two pushes of the same news.
-constexpr clock_ms deadMemory{ 60'000 }; ///< Time for which a dead record is remembered.
-constexpr clock_ms passingMemory{ 30'000 }; ///< Time for which a record that is only passed on is remembered.
-constexpr clock_ms lostMemory{ 600'000 }; ///< Time for which the address of a dead member is tried.
+constexpr clock_ms pushGap{200}; ///< Between two pushes of the same news.
+constexpr clock_ms deadMemory{60'000}; ///< Time for which a dead record is remembered.
+constexpr clock_ms passingMemory{30'000}; ///< Time for which a record that is only passed on is remembered.
+constexpr clock_ms lostMemory{600'000}; ///< Time for which the address of a dead member is tried.
 constexpr std::size_t maxLost = 64; ///< Addresses of dead members that are tried.
-constexpr clock_ms reconnectPeriod{ 2'000 }; ///< Between two attempts to reach lost addresses or seeds; jittered.
-constexpr clock_ms exchangeGap{ 200 }; ///< Least time between two exchanges that the table asks for.
+constexpr clock_ms reconnectPeriod{2'000}; ///< Between two attempts to reach lost addresses or seeds; jittered.
+constexpr clock_ms exchangeGap{200}; ///< Least time between two exchanges that the table asks for.
 constexpr std::uint32_t maxHealthPenalty = 8; ///< Greatest local health multiplier (Lifeguard, DSN 2018).
 constexpr std::uint32_t cutPenalty = 4; ///< Further multiples of the suspicion time while this side may be cut off.
 constexpr std::size_t contactsPerDataCenter = 3; ///< Members of each other data centre that are kept whatever their service.
-constexpr clock_ms restAfterGap{ 1'000 }; ///< After a pause, time without duties unless a peer answers earlier.
-constexpr clock_ms leastGap{ 1'500 }; ///< A shorter time without a call is no pause.
+constexpr clock_ms restAfterGap{1'000}; ///< After a pause, time without duties unless a peer answers earlier.
+constexpr clock_ms leastGap{1'500}; ///< A shorter time without a call is no pause.
 constexpr std::uint32_t absencesOfDead = 6; ///< Answers in a row that must leave a member out: one daemon that has just started knows nobody.
-constexpr clock_ms absenceMemory{ 5'000 }; ///< A longer time between two of them starts the count anew.
+constexpr clock_ms absenceMemory{5'000}; ///< A longer time between two of them starts the count anew.
 constexpr std::int64_t digestNewsShare = 100; ///< Milliseconds for each live member between two news of a digest.
 constexpr std::size_t maxRelayedProbes = 256; ///< Indirect probes under way for others.
 constexpr std::size_t maxSeeds = 256; ///< Seed addresses kept.
--- a/src/membership/member_type.h
+++ b/src/membership/member_type.h
@@ -11,7 +11,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 enum class member_state : std::uint8_t {
     alive,
--- a/src/membership/member_wire.cpp
+++ b/src/membership/member_wire.cpp
@@ -2,9 +2,11 @@
 
 #include "membership/member_wire_func.h"
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxText = 255; ///< Bytes of a host, data centre, address or service name.
 
 bool isSound(const wire::Member &message)
@@ -52,13 +54,13 @@
     record.host = message.host();
     record.dataCenter = message.data_center();
     record.peerAddress = message.peer_address();
-    record.incarnation = incarnation_id{ message.incarnation() };
+    record.incarnation = incarnation_id{message.incarnation()};
     record.revision = message.revision();
     record.state = static_cast<member_state>(message.state());
     record.service = message.service();
     record.server = static_cast<server_state>(message.server());
     record.slots = message.slots();
-    record.servingFor = clock_ms{ static_cast<std::int64_t>(message.serving_for_ms()) };
+    record.servingFor = clock_ms{static_cast<std::int64_t>(message.serving_for_ms())};
     record.configurationDigest = message.configuration_digest();
     return record;
 }
--- a/src/membership/member_wire_func.h
+++ b/src/membership/member_wire_func.h
@@ -8,7 +8,8 @@
 
 #include <optional>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** Fills a message from a record. */
 void writeMember(const member_record &record, wire::Member &message);
--- a/src/membership/news_queue.cpp
+++ b/src/membership/news_queue.cpp
@@ -9,9 +9,11 @@
 #include <utility>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxItems = 8'192; ///< News held; the most often sent is dropped beyond.
 constexpr std::size_t fieldOverhead = 4; ///< Greatest bytes of a field's tag and length.
 constexpr int maxMisfits = 4; ///< Items that may be too large for the rest of a datagram until it counts as full.
@@ -20,22 +22,22 @@
 
 void news_queue::addMember(const std::string &host)
 {
-    add(host, { host, {}, 0 });
+    add(host, {host, {}, 0});
 }
 
 void news_queue::addChange(const change_announcement &change)
 {
-    add(change.kind + keySeparator + change.name, { {}, change, 0 });
+    add(change.kind + keySeparator + change.name, {{}, change, 0});
 }
 
 void news_queue::add(const item_key &key, news_item item)
 {
     const auto found = m_items.find(key);
     if (found != m_items.end()) {
-        m_order.erase({ found->second.sent, key });
+        m_order.erase({found->second.sent, key});
     }
     m_items[key] = std::move(item);
-    m_order.insert({ 0, key });
+    m_order.insert({0, key});
     if (m_items.size() > maxItems) {
         const auto last = std::prev(m_order.end());
         m_items.erase(last->second);
@@ -95,13 +97,13 @@
 void news_queue::countSent(const item_key &key, std::uint32_t sends)
 {
     const auto found = m_items.find(key);
-    m_order.erase({ found->second.sent, key });
+    m_order.erase({found->second.sent, key});
     ++found->second.sent;
     if (found->second.sent >= sends) {
         m_items.erase(found);
         return;
     }
-    m_order.insert({ found->second.sent, key });
+    m_order.insert({found->second.sent, key});
 }
 
 std::size_t news_queue::size() const
--- a/src/membership/news_queue_base.h
+++ b/src/membership/news_queue_base.h
@@ -13,7 +13,8 @@
 #include <set>
 #include <string>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** Gives the record of a host, as it is to be sent; null if it isn't known any more. */
 using record_source = std::function<const member_record *(const std::string &host)>;
--- a/src/metrics/call_series.cpp
+++ b/src/metrics/call_series.cpp
@@ -2,21 +2,23 @@
 
 #include "metrics/call_series_base.h"
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
-const prometheus::Histogram::BucketBoundaries secondBuckets = { 0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1, 2, 4, 8, 16, 60 };
+namespace
+{
+const prometheus::Histogram::BucketBoundaries secondBuckets = {0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1, 2, 4, 8, 16, 60};
 
 prometheus::Labels makeLabels(std::string_view service, std::string_view callClass)
 {
-    return { { "service", std::string(service) }, { "class", std::string(callClass) } };
+    return {{"service", std::string(service)}, {"class", std::string(callClass)}};
 }
 
 /**
  * Finds a metric, or adds it with the labels that `makeLabels` returns.
  * Two threads that both find nothing add the same metric: Family::Add() returns the one that exists.
  */
-template <typename Metric, typename MakeLabels, typename... Arguments>
+template<typename Metric, typename MakeLabels, typename... Arguments>
 Metric &loadOrAdd(std::atomic<Metric *> &slot, prometheus::Family<Metric> &family, const MakeLabels &makeLabels, const Arguments &...arguments)
 {
     Metric *found = slot.load(std::memory_order_acquire);
@@ -45,17 +47,25 @@
 
 void call_series::callEnded(call_outcome outcome, outcome_reason reason, double seconds)
 {
-    const auto byOutcome = [this, outcome] { return labelsWith("outcome", toString(outcome)); };
+    const auto byOutcome = [this, outcome] {
+        return labelsWith("outcome", toString(outcome));
+    };
     loadOrAdd(m_callSeconds.at(static_cast<std::size_t>(outcome)), m_families.callSeconds, byOutcome, secondBuckets).Observe(seconds);
-    const auto byReason = [this, reason] { return labelsWith("reason", toString(reason)); };
+    const auto byReason = [this, reason] {
+        return labelsWith("reason", toString(reason));
+    };
     loadOrAdd(m_calls.at(static_cast<std::size_t>(reason)), m_families.calls, byReason).Increment();
 }
 
 void call_series::gateDecided(outcome_reason reason, double waitSeconds)
 {
-    const auto plain = [this] { return m_labels; };
+    const auto plain = [this] {
+        return m_labels;
+    };
     loadOrAdd(m_gateWaitSeconds, m_families.gateWaitSeconds, plain, secondBuckets).Observe(waitSeconds);
-    const auto byReason = [this, reason] { return labelsWith("reason", toString(reason)); };
+    const auto byReason = [this, reason] {
+        return labelsWith("reason", toString(reason));
+    };
     loadOrAdd(m_gateDecisions.at(static_cast<std::size_t>(reason)), m_families.gateDecisions, byReason).Increment();
 }
 
@@ -74,7 +84,7 @@
 
 std::shared_ptr<call_series> call_series_table::find(std::string_view service, std::string_view callClass)
 {
-    series_key key{ service, callClass };
+    series_key key{service, callClass};
     const auto snapshot = m_series.load();
     const auto found = snapshot->find(key);
     if (found != snapshot->end()) {
--- a/src/metrics/call_series_base.h
+++ b/src/metrics/call_series_base.h
@@ -19,7 +19,8 @@
 #include <string_view>
 #include <utility>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 constexpr std::size_t maxSeries = 512; ///< Pairs of service and class; further ones share the pair `other`, `other`.
 
@@ -52,7 +53,7 @@
     const prometheus::Labels m_labels;
     std::array<std::atomic<prometheus::Histogram *>, outcomeCount> m_callSeconds{};
     std::array<std::atomic<prometheus::Counter *>, reasonCount> m_calls{};
-    std::atomic<prometheus::Histogram *> m_gateWaitSeconds{ nullptr };
+    std::atomic<prometheus::Histogram *> m_gateWaitSeconds{nullptr};
     std::array<std::atomic<prometheus::Counter *>, reasonCount> m_gateDecisions{};
 };
 
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -14,14 +14,16 @@
 #include <mutex>
 #include <sstream>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxNames = 256; ///< Gauges, and counters; further ones are dropped.
 const std::string prefix = "cicadamux_";
 
 /** Metrics of one kind that are found by their name alone. */
-template <typename Metric, typename Builder>
+template<typename Metric, typename Builder>
 class named_metrics
 {
 public:
@@ -53,7 +55,7 @@
 
 struct daemon_metrics::state {
     std::shared_ptr<prometheus::Registry> registry = std::make_shared<prometheus::Registry>();
-    detail::call_series_table series{ *registry };
+    detail::call_series_table series{*registry};
     gauges namedGauges;
     counters namedCounters;
 };
--- a/src/metrics/metrics_func.h
+++ b/src/metrics/metrics_func.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** The daemon's metrics. Thread-safe. Labels come from policies, so their number is bounded; others are counted under `other`. */
 class daemon_metrics
--- a/src/operator/admin_client.cpp
+++ b/src/operator/admin_client.cpp
@@ -13,9 +13,11 @@
 
 #include <charconv>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
@@ -33,7 +35,7 @@
     if (colon == std::string::npos || failure || std::from_chars(address.data() + colon + 1, end, port).ptr != end || port == 0) {
         throw admin_error(admin_failure::bad_address, address + " isn't an IP address with a port, such as 127.0.0.1:7004");
     }
-    return { host, port };
+    return {host, port};
 }
 
 http::request<http::string_body> makeRequest(const std::string &address, const std::string &line)
@@ -41,7 +43,7 @@
     http::request<http::string_body> request(http::verb::post, "/query", httpVersion);
     request.set(http::field::host, address);
     request.set(http::field::content_type, "application/json");
-    request.body() = boost::json::serialize(boost::json::object{ { "query", line } });
+    request.body() = boost::json::serialize(boost::json::object{{"query", line}});
     request.prepare_payload();
     return request;
 }
@@ -74,9 +76,11 @@
 std::string askAdmin(const std::string &address, const std::string &line, clock_ms timeLimit)
 {
     asio::io_context context;
-    admin_exchange exchange{ parseEndpoint(address), makeRequest(address, line), timeLimit, false, {} };
+    admin_exchange exchange{parseEndpoint(address), makeRequest(address, line), timeLimit, false, {}};
     std::exception_ptr failed;
-    asio::co_spawn(context, runExchange(exchange), [&failed](std::exception_ptr thrown) { failed = std::move(thrown); });
+    asio::co_spawn(context, runExchange(exchange), [&failed](std::exception_ptr thrown) {
+        failed = std::move(thrown);
+    });
     context.run();
     try {
         if (failed) {
--- a/src/operator/admin_client_func.h
+++ b/src/operator/admin_client_func.h
@@ -8,7 +8,8 @@
 #include <cstdint>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** How far a question came before it failed. */
 enum class admin_failure : std::uint8_t {
--- a/src/operator/admin_session.cpp
+++ b/src/operator/admin_session.cpp
@@ -11,9 +11,11 @@
 #include <ostream>
 #include <thread>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::chrono::milliseconds pollPeriod(500);
 
 bool isChange(const std::string &line)
--- a/src/operator/admin_session_func.h
+++ b/src/operator/admin_session_func.h
@@ -8,7 +8,8 @@
 #include <iosfwd>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** @return Whether a line is a change that would be written. */
 bool isChangeLine(const std::string &line);
--- a/src/operator/command_line.cpp
+++ b/src/operator/command_line.cpp
@@ -23,9 +23,11 @@
 ABSL_FLAG(std::uint32_t, time_limit_ms, 15'000, "longest wait for one answer of the daemon");
 ABSL_FLAG(bool, markdown, false, "print an explanation as a Markdown page");
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::string_view version = "0.1.0";
 
 using arguments = std::vector<std::string>;
@@ -56,10 +58,10 @@
 
 admin_options adminOptions()
 {
-    return { absl::GetFlag(FLAGS_admin),
-             absl::GetFlag(FLAGS_json),
-             clock_ms{ absl::GetFlag(FLAGS_wait_s) * std::int64_t{ 1'000 } },
-             clock_ms{ absl::GetFlag(FLAGS_time_limit_ms) } };
+    return {absl::GetFlag(FLAGS_admin),
+            absl::GetFlag(FLAGS_json),
+            clock_ms{absl::GetFlag(FLAGS_wait_s) * std::int64_t{1'000}},
+            clock_ms{absl::GetFlag(FLAGS_time_limit_ms)}};
 }
 
 int runDaemonCommand(const arguments &rest)
@@ -112,16 +114,16 @@
     return toExit(query_status::ok);
 }
 
-constexpr std::array<subcommand_row, 8> subcommands = { {
-    { "daemon", "--settings=FILE", "Runs a daemon until SIGTERM or SIGINT, then stops it gracefully", runDaemonCommand },
-    { "settings check", "FILE", "Checks a settings file and tells all its faults", runSettingsCheck },
-    { "settings explain", "[--markdown]", "Explains each setting: type, unit, range, default", runSettingsExplain },
-    { "policy check", "FILE...", "Checks policy files, each alone and all together", runPolicyCheck },
-    { "query", "'LINE' [--admin=ADDRESS] [--json] [--wait_s=N]", "Asks a daemon a line of the operators' language", runQueryCommand },
-    { "prompt", "[--admin=ADDRESS]", "Asks a daemon line after line, with history and completion", runPromptCommand },
-    { "help", "[--markdown]", "Shows this help, or the page of the operators' language", runHelp },
-    { "version", "", "Shows the version", runVersion },
-} };
+constexpr std::array<subcommand_row, 8> subcommands = {{
+    {"daemon", "--settings=FILE", "Runs a daemon until SIGTERM or SIGINT, then stops it gracefully", runDaemonCommand},
+    {"settings check", "FILE", "Checks a settings file and tells all its faults", runSettingsCheck},
+    {"settings explain", "[--markdown]", "Explains each setting: type, unit, range, default", runSettingsExplain},
+    {"policy check", "FILE...", "Checks policy files, each alone and all together", runPolicyCheck},
+    {"query", "'LINE' [--admin=ADDRESS] [--json] [--wait_s=N]", "Asks a daemon a line of the operators' language", runQueryCommand},
+    {"prompt", "[--admin=ADDRESS]", "Asks a daemon line after line, with history and completion", runPromptCommand},
+    {"help", "[--markdown]", "Shows this help, or the page of the operators' language", runHelp},
+    {"version", "", "Shows the version", runVersion},
+}};
 
 std::string usageText()
 {
@@ -173,14 +175,14 @@
             break;
         }
         if (argument == "--help") {
-            return { "help" };
+            return {"help"};
         }
         if (argument.size() > 1 && argument.starts_with('-')) {
             checkFlag(argument);
         }
     }
     const std::vector<char *> words = absl::ParseCommandLine(argc, argv);
-    return { words.begin() + 1, words.end() };
+    return {words.begin() + 1, words.end()};
 }
 
 /** Tells whether the words begin with a subcommand's name; then removes it. */
--- a/src/operator/command_line_func.h
+++ b/src/operator/command_line_func.h
@@ -7,7 +7,8 @@
 
 #include <functional>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** The command line can't be understood. */
 class usage_error : public error
--- a/src/operator/command_parser.cpp
+++ b/src/operator/command_parser.cpp
@@ -9,9 +9,11 @@
 #include <algorithm>
 #include <numeric>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 using detail::command_row;
 using detail::matched_values;
 using detail::placeholder_row;
@@ -84,7 +86,7 @@
 {
     for (const std::string_view expected : run) {
         if (result.reached >= words.size() || !matchWord(expected, words[result.reached], result.values)) {
-            result.expected = { expected };
+            result.expected = {expected};
             return false;
         }
         ++result.reached;
@@ -125,14 +127,14 @@
 std::size_t editDistance(std::string_view left, std::string_view right)
 {
     std::vector<std::size_t> row(right.size() + 1);
-    std::iota(row.begin(), row.end(), std::size_t{ 0 });
+    std::iota(row.begin(), row.end(), std::size_t{0});
     for (std::size_t i = 1; i <= left.size(); ++i) {
         std::size_t diagonal = row[0];
         row[0] = i;
         for (std::size_t j = 1; j <= right.size(); ++j) {
             const std::size_t substituted = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
             diagonal = row[j];
-            row[j] = std::min({ substituted, row[j] + 1, row[j - 1] + 1 });
+            row[j] = std::min({substituted, row[j] + 1, row[j - 1] + 1});
         }
     }
     return row.back();
@@ -143,9 +145,9 @@
 {
     const placeholder_row *placeholder = placeholderOf(expected);
     if (placeholder == nullptr) {
-        return expected == endOfLine ? std::vector<std::string_view>{} : std::vector<std::string_view>{ expected };
+        return expected == endOfLine ? std::vector<std::string_view>{} : std::vector<std::string_view>{expected};
     }
-    return { placeholder->choices.begin(), placeholder->choices.end() };
+    return {placeholder->choices.begin(), placeholder->choices.end()};
 }
 
 std::string nearestWord(std::string_view word, const std::vector<std::string_view> &expected)
@@ -202,7 +204,9 @@
     const bool atEnd = failure.reached >= words.size();
     fault.position = atEnd ? line.size() : words[failure.reached].position;
     fault.word = atEnd ? "" : words[failure.reached].text;
-    const bool onlyPlaceholders = std::ranges::all_of(failure.expected, [](std::string_view word) { return placeholderOf(word) != nullptr; });
+    const bool onlyPlaceholders = std::ranges::all_of(failure.expected, [](std::string_view word) {
+        return placeholderOf(word) != nullptr;
+    });
     fault.problem = atEnd ? "missing word" : onlyPlaceholders ? "malformed value" : "unknown word";
     for (const std::string_view word : failure.expected) {
         fault.expected.push_back(describeExpected(word));
@@ -230,7 +234,7 @@
 {
     auto *change = std::get_if<change_command>(&parsed);
     if (change == nullptr && (previewOnly || fromGeneration)) {
-        throw parse_error({ first.position, first.text, "unknown word", { "set", "replace" }, "" });
+        throw parse_error({first.position, first.text, "unknown word", {"set", "replace"}, ""});
     }
     if (change != nullptr) {
         change->previewOnly = previewOnly;
--- a/src/operator/command_parser_func.h
+++ b/src/operator/command_parser_func.h
@@ -8,7 +8,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /**
  * Parses one line: a command of the table; a change may stand after `preview` and end with `from generation N`.
--- a/src/operator/command_table.cpp
+++ b/src/operator/command_table.cpp
@@ -7,9 +7,11 @@
 #include <algorithm>
 #include <array>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 refusal_grouping groupingOf(const matched_values &values)
 {
     const std::string &key = values.text("KEY");
@@ -27,54 +29,54 @@
 
 command buildRefusals(const matched_values &values)
 {
-    show_refusals_command made{ values.text("SERVICE"), values.text("DATA-CENTER"), {}, groupingOf(values) };
+    show_refusals_command made{values.text("SERVICE"), values.text("DATA-CENTER"), {}, groupingOf(values)};
     made.span = parseSpan(values.text("SPAN")).value_or(show_refusals_command().span);
     return made;
 }
 
 command buildWhy(const matched_values &values)
 {
-    return why_refused_command{ root_id{ fromHex(values.text("ROOT")).value_or(0) } };
+    return why_refused_command{root_id{fromHex(values.text("ROOT")).value_or(0)}};
 }
 
 command buildMembers(const matched_values &values)
 {
-    return show_members_command{ values.text("SERVICE"), values.text("DATA-CENTER") };
+    return show_members_command{values.text("SERVICE"), values.text("DATA-CENTER")};
 }
 
 command buildUpstreams(const matched_values &values)
 {
-    return show_upstreams_command{ values.text("SERVICE"), values.text("HOST") };
+    return show_upstreams_command{values.text("SERVICE"), values.text("HOST")};
 }
 
 command buildLimits(const matched_values &values)
 {
-    return show_limits_command{ values.text("SERVICE") };
+    return show_limits_command{values.text("SERVICE")};
 }
 
 command buildPolicy(const matched_values &values)
 {
-    return show_policy_command{ values.text("SERVICE") };
+    return show_policy_command{values.text("SERVICE")};
 }
 
 command buildCompare(const matched_values &values)
 {
-    return compare_policy_command{ values.text("SERVICE"), values.text("JSON") };
+    return compare_policy_command{values.text("SERVICE"), values.text("JSON")};
 }
 
 command buildInForce(const matched_values &values)
 {
-    return show_in_force_command{ values.text("OBJECT"), parseWhole(values.text("COUNT")).value_or(0) };
+    return show_in_force_command{values.text("OBJECT"), parseWhole(values.text("COUNT")).value_or(0)};
 }
 
 command buildDrain(const matched_values &values)
 {
-    return drain_command{ values.text("HOST"), true };
+    return drain_command{values.text("HOST"), true};
 }
 
 command buildUndrain(const matched_values &values)
 {
-    return drain_command{ values.text("HOST"), false };
+    return drain_command{values.text("HOST"), false};
 }
 
 command buildHelp(const matched_values & /*values*/)
@@ -111,7 +113,7 @@
 }
 
 /** Makes the edit of one operation, filled in by `fill`. */
-template <typename Fill>
+template<typename Fill>
 command buildOperation(const matched_values &values, Fill fill)
 {
     const std::string &path = values.text("SERVICE/OPERATION");
@@ -125,27 +127,37 @@
 
 command buildRank(const matched_values &values)
 {
-    return buildOperation(values, [&values](operation_edit &edit) { edit.rankName = values.text("RANK"); });
+    return buildOperation(values, [&values](operation_edit &edit) {
+        edit.rankName = values.text("RANK");
+    });
 }
 
 command buildClass(const matched_values &values)
 {
-    return buildOperation(values, [&values](operation_edit &edit) { edit.callClass = values.text("CLASS"); });
+    return buildOperation(values, [&values](operation_edit &edit) {
+        edit.callClass = values.text("CLASS");
+    });
 }
 
 command buildDeadline(const matched_values &values)
 {
-    return buildOperation(values, [&values](operation_edit &edit) { edit.deadline = parseSpan(values.text("SPAN")); });
+    return buildOperation(values, [&values](operation_edit &edit) {
+        edit.deadline = parseSpan(values.text("SPAN"));
+    });
 }
 
 command buildDeadlineKind(const matched_values &values)
 {
-    return buildOperation(values, [&values](operation_edit &edit) { edit.lateOk = values.text("KIND") == "late-ok"; });
+    return buildOperation(values, [&values](operation_edit &edit) {
+        edit.lateOk = values.text("KIND") == "late-ok";
+    });
 }
 
 command buildLateLimit(const matched_values &values)
 {
-    return buildOperation(values, [&values](operation_edit &edit) { edit.lateLimit = parseSpan(values.text("SPAN")); });
+    return buildOperation(values, [&values](operation_edit &edit) {
+        edit.lateLimit = parseSpan(values.text("SPAN"));
+    });
 }
 
 command buildRetries(const matched_values &values)
@@ -158,22 +170,26 @@
 
 command buildAtMostOnce(const matched_values &values)
 {
-    return buildOperation(values, [&values](operation_edit &edit) { edit.atMostOnce = isYes(values); });
+    return buildOperation(values, [&values](operation_edit &edit) {
+        edit.atMostOnce = isYes(values);
+    });
 }
 
 command buildPassesThrough(const matched_values &values)
 {
-    return buildOperation(values, [&values](operation_edit &edit) { edit.passesThrough = parseServiceList(values.text("SERVICES")); });
+    return buildOperation(values, [&values](operation_edit &edit) {
+        edit.passesThrough = parseServiceList(values.text("SERVICES"));
+    });
 }
 
 command buildReplacePolicy(const matched_values &values)
 {
-    return makeChange(object_edit{ false, values.text("JSON") });
+    return makeChange(object_edit{false, values.text("JSON")});
 }
 
 command buildReplaceRanks(const matched_values &values)
 {
-    return makeChange(object_edit{ true, values.text("JSON") });
+    return makeChange(object_edit{true, values.text("JSON")});
 }
 
 // clang-format off
@@ -207,7 +223,7 @@
 
 void matched_values::add(std::string_view placeholder, std::string value)
 {
-    m_values.push_back({ placeholder, std::move(value) });
+    m_values.push_back({placeholder, std::move(value)});
 }
 
 const std::string &matched_values::text(std::string_view placeholder) const
--- a/src/operator/command_table.h
+++ b/src/operator/command_table.h
@@ -9,7 +9,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** The values that a line gives for the placeholders of a grammar. */
 class matched_values
--- a/src/operator/command_type.h
+++ b/src/operator/command_type.h
@@ -12,7 +12,8 @@
 #include <variant>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** What counts of refusals are grouped by. */
 enum class refusal_grouping : std::uint8_t { reason, rank, call_class, service, data_center };
@@ -20,7 +21,7 @@
 struct show_refusals_command {
     std::string service; ///< Empty: all.
     std::string dataCenter; ///< Empty: all.
-    clock_ms span{ 300'000 };
+    clock_ms span{300'000};
     refusal_grouping by = refusal_grouping::reason;
 };
 
--- a/src/operator/data_center_memory.cpp
+++ b/src/operator/data_center_memory.cpp
@@ -2,7 +2,8 @@
 
 #include "operator/data_center_memory_base.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 void data_center_memory::note(std::span<const member_record> view, clock_ms now)
 {
@@ -13,10 +14,12 @@
     }
     for (const member_record &member : view) {
         if (m_seen.size() < maxDataCenters || m_seen.contains(member.dataCenter)) {
-            m_seen[member.dataCenter] = { now, true };
+            m_seen[member.dataCenter] = {now, true};
         }
     }
-    std::erase_if(m_seen, [now](const auto &entry) { return !entry.second.isPresent && now - entry.second.last > dataCenterMemory; });
+    std::erase_if(m_seen, [now](const auto &entry) {
+        return !entry.second.isPresent && now - entry.second.last > dataCenterMemory;
+    });
 }
 
 std::vector<std::string> data_center_memory::names(clock_ms now) const
--- a/src/operator/data_center_memory_base.h
+++ b/src/operator/data_center_memory_base.h
@@ -11,10 +11,11 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 constexpr std::size_t maxDataCenters = 256; ///< Remembered; further ones are left out.
-constexpr clock_ms dataCenterMemory{ 86'400'000 }; ///< How long one is remembered after its last daemon left the view.
+constexpr clock_ms dataCenterMemory{86'400'000}; ///< How long one is remembered after its last daemon left the view.
 
 /** Remembers the data centres of all views that it was told. Thread-safe. */
 class data_center_memory
--- a/src/operator/exit_code_type.h
+++ b/src/operator/exit_code_type.h
@@ -6,7 +6,8 @@
 #include <span>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Values are the process's exit codes; the name on the wire is that of statusName(). */
 enum class query_status : std::uint8_t {
--- a/src/operator/fleet_ask.cpp
+++ b/src/operator/fleet_ask.cpp
@@ -8,9 +8,11 @@
 #include <map>
 #include <mutex>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 /** Members of one data centre that wait to be asked. */
 struct ask_queue {
     std::deque<std::size_t> waiting; ///< Indexes of parts.
@@ -29,13 +31,15 @@
     {
         for (member_record &member : members) {
             m_queues[member.dataCenter].waiting.push_back(m_parts.size());
-            m_parts.push_back({ std::move(member), std::nullopt });
+            m_parts.push_back({std::move(member), std::nullopt});
         }
     }
 
     void start()
     {
-        m_hooks->schedule(fleetTimeLimit, [self = shared_from_this()] { self->end(); });
+        m_hooks->schedule(fleetTimeLimit, [self = shared_from_this()] {
+            self->end();
+        });
         askOn();
         if (m_parts.empty()) {
             end();
@@ -82,8 +86,9 @@
             answered(index, answerAsk(m_query, *m_hooks));
             return;
         }
-        m_hooks->ask(
-            member, m_query, askTimeLimit, [self = shared_from_this(), index](std::optional<std::string> json) { self->answered(index, std::move(json)); });
+        m_hooks->ask(member, m_query, askTimeLimit, [self = shared_from_this(), index](std::optional<std::string> json) {
+            self->answered(index, std::move(json));
+        });
     }
 
     void answered(std::size_t index, std::optional<std::string> json)
--- a/src/operator/fleet_ask_func.h
+++ b/src/operator/fleet_ask_func.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** One daemon's part of a fleet's answer. */
 struct asked_part {
@@ -22,8 +23,8 @@
 using parts_handler = std::function<void(std::vector<asked_part> parts)>;
 
 constexpr std::size_t asksPerDataCenter = 32; ///< Asked at a time, so that a silent data centre holds up no other.
-constexpr clock_ms askTimeLimit{ 1'000 }; ///< For one daemon's answer.
-constexpr clock_ms fleetTimeLimit{ 4'000 }; ///< For all answers together.
+constexpr clock_ms askTimeLimit{1'000}; ///< For one daemon's answer.
+constexpr clock_ms fleetTimeLimit{4'000}; ///< For all answers together.
 
 /** Asks each member; this daemon answers itself. Answers that come after the time limits are dropped. */
 void askFleet(std::shared_ptr<const operator_hooks> hooks, std::vector<member_record> members, std::string query, parts_handler handler);
--- a/src/operator/fleet_queries.cpp
+++ b/src/operator/fleet_queries.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <map>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr double msPerSecond = 1'000.0;
 
 std::string localLine(const query_run &run)
@@ -54,7 +56,7 @@
         }
         query_table &table = answer.result.tables.front();
         if (joined.tables.empty()) {
-            joined.tables.push_back({ table.title, table.columns, {} });
+            joined.tables.push_back({table.title, table.columns, {}});
         }
         if (table.columns == joined.tables.front().columns) {
             std::ranges::move(table.rows, std::back_inserter(joined.tables.front().rows));
@@ -99,14 +101,16 @@
 
 query_result mergeRefusals(const show_refusals_command &wanted, fleet_answers fleet)
 {
-    query_table table{ "refusals of the last " + secondsText(wanted.span), { std::string(columnOf(wanted.by)), "refused", "per_second" }, {} };
+    query_table table{"refusals of the last " + secondsText(wanted.span), {std::string(columnOf(wanted.by)), "refused", "per_second"}, {}};
     std::int64_t sum = 0;
     const double seconds = std::max(1.0, static_cast<double>(wanted.span.count) / msPerSecond);
     for (const auto &[group, count] : sumGroups(fleet)) {
-        table.rows.push_back({ group, count, static_cast<double>(count) / seconds });
+        table.rows.push_back({group, count, static_cast<double>(count) / seconds});
         sum += count;
     }
-    std::ranges::stable_sort(table.rows, std::greater<>(), [](const query_row &row) { return std::get<std::int64_t>(row[1]); });
+    std::ranges::stable_sort(table.rows, std::greater<>(), [](const query_row &row) {
+        return std::get<std::int64_t>(row[1]);
+    });
     query_result result = makeAnswer(statusFor(fleet), std::to_string(sum) + " refused; " + answeredPart(fleet));
     result.reach = leastReach(fleet);
     if (result.reach && *result.reach < wanted.span) {
@@ -127,7 +131,7 @@
     };
     const auto number = [&row](column which) {
         const auto *found = std::get_if<std::int64_t>(&row[which]);
-        return found != nullptr ? *found : std::int64_t{ 0 };
+        return found != nullptr ? *found : std::int64_t{0};
     };
     std::string sentence
         = text(host) + " in " + text(data_center) + " refused " + text(service) + '/' + text(operation) + " (rank " + text(rank) + "): " + text(reason);
@@ -203,16 +207,22 @@
         return;
     }
     const std::string line = localLine(run);
-    askFleet(hooks, { *member }, line, [run = std::move(run)](const std::vector<asked_part> &parts) { run.finish(joinTables(readParts(parts))); });
+    askFleet(hooks, {*member}, line, [run = std::move(run)](const std::vector<asked_part> &parts) {
+        run.finish(joinTables(readParts(parts)));
+    });
 }
 
 void fleetLimits(const show_limits_command &wanted, query_run run)
 {
     auto hooks = run.hooks;
     std::vector<member_record> members = membersOf(*hooks, wanted.service, {});
-    std::erase_if(members, [](const member_record &member) { return member.server == server_state::absent; });
+    std::erase_if(members, [](const member_record &member) {
+        return member.server == server_state::absent;
+    });
     const std::string line = localLine(run);
-    askFleet(hooks, std::move(members), line, [run = std::move(run)](const std::vector<asked_part> &parts) { run.finish(joinTables(readParts(parts))); });
+    askFleet(hooks, std::move(members), line, [run = std::move(run)](const std::vector<asked_part> &parts) {
+        run.finish(joinTables(readParts(parts)));
+    });
 }
 
 void fleetDrain(const drain_command &wanted, query_run run)
@@ -224,7 +234,7 @@
         return;
     }
     const std::string line = localLine(run);
-    askFleet(hooks, { *member }, line, [run = std::move(run)](const std::vector<asked_part> &parts) {
+    askFleet(hooks, {*member}, line, [run = std::move(run)](const std::vector<asked_part> &parts) {
         fleet_answers fleet = readParts(parts);
         if (!fleet.answers.empty()) {
             run.finish(fleet.answers.front().result);
--- a/src/operator/in_force.cpp
+++ b/src/operator/in_force.cpp
@@ -8,9 +8,11 @@
 #include <map>
 #include <set>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 using object_generations = std::map<std::string, std::uint64_t>; // By the name that operators use.
 
 constexpr std::size_t maxNamedMissing = 100; ///< Silent daemons that are named.
@@ -77,7 +79,7 @@
 
     void addMissing(const missing_part &part)
     {
-        m_reports.push_back({ part.dataCenter, std::nullopt });
+        m_reports.push_back({part.dataCenter, std::nullopt});
         m_known.insert(part.dataCenter);
         if (m_missing.size() < maxNamedMissing) {
             m_missing.push_back(part);
@@ -90,14 +92,14 @@
         if (targets.empty()) {
             return makeAnswer(query_status::not_found, "no daemon that answered has " + (m_wanted.object.empty() ? "any policy" : m_wanted.object));
         }
-        query_table table{ "in force", { "object", "generation", "data_center", "in_force", "behind", "silent", "state" }, {} };
+        query_table table{"in force", {"object", "generation", "data_center", "in_force", "behind", "silent", "state"}, {}};
         std::set<std::string> lacking;
         std::set<std::string> unreachable;
         for (const auto &[object, generation] : targets) {
             for (const std::string &dataCenter : m_known) {
                 const data_center_count count = countOf(object, generation, dataCenter);
                 const std::string state = count.state();
-                table.rows.push_back({ object, static_cast<std::int64_t>(generation), dataCenter, count.inForce, count.behind, count.silent, state });
+                table.rows.push_back({object, static_cast<std::int64_t>(generation), dataCenter, count.inForce, count.behind, count.silent, state});
                 if (state != "in force") {
                     (state == "unreachable" ? unreachable : lacking).insert(dataCenter);
                 }
@@ -109,7 +111,7 @@
 private:
     void add(const std::string &dataCenter, object_generations generations)
     {
-        m_reports.push_back({ dataCenter, std::move(generations) });
+        m_reports.push_back({dataCenter, std::move(generations)});
         m_known.insert(dataCenter);
     }
 
@@ -123,7 +125,7 @@
             }
         }
         if (!m_wanted.object.empty() && m_wanted.generation != 0) {
-            return { { m_wanted.object, m_wanted.generation } };
+            return {{m_wanted.object, m_wanted.generation}};
         }
         return targets;
     }
@@ -155,7 +157,7 @@
         }
         result.missing = m_missing;
         for (const std::string &dataCenter : unreachable) {
-            result.missing.push_back({ "", dataCenter, "no daemon of it can be reached; nothing is known of it" });
+            result.missing.push_back({"", dataCenter, "no daemon of it can be reached; nothing is known of it"});
         }
         result.tables.push_back(std::move(table));
         return result;
@@ -198,8 +200,12 @@
     const std::string line = std::string(localPrefix) + run.line;
     askFleet(hooks, std::move(toAsk), line, [count, run = std::move(run)](const std::vector<asked_part> &parts) {
         const fleet_answers fleet = readParts(parts);
-        std::ranges::for_each(fleet.answers, [&](const member_answer &answer) { count->addAnswer(answer); });
-        std::ranges::for_each(fleet.missing, [&](const missing_part &part) { count->addMissing(part); });
+        std::ranges::for_each(fleet.answers, [&](const member_answer &answer) {
+            count->addAnswer(answer);
+        });
+        std::ranges::for_each(fleet.missing, [&](const missing_part &part) {
+            count->addMissing(part);
+        });
         run.finish(count->result());
     });
 }
--- a/src/operator/language_page.cpp
+++ b/src/operator/language_page.cpp
@@ -5,7 +5,8 @@
 #include "operator/command_table.h"
 #include "operator/exit_code_type.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 std::string explainLanguageMarkdown()
 {
--- a/src/operator/local_answers.cpp
+++ b/src/operator/local_answers.cpp
@@ -6,9 +6,11 @@
 
 #include <map>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 std::string groupOf(const refusal_key &key, refusal_grouping by, const operator_hooks &hooks)
 {
     switch (by) {
@@ -28,18 +30,18 @@
 
 query_row whyRow(const refusal_record &record, const operator_hooks &hooks)
 {
-    return { record.at.count,
-             record.host.empty() ? hooks.host : record.host,
-             record.dataCenter.empty() ? hooks.dataCenter : record.dataCenter,
-             record.service,
-             record.operation,
-             record.callClass,
-             rankName(hooks, record.rank.value),
-             std::string(toString(record.reason)),
-             rankName(hooks, record.rankAdmitted),
-             std::int64_t{ record.queueLength },
-             std::int64_t{ record.limit },
-             record.waited.count };
+    return {record.at.count,
+            record.host.empty() ? hooks.host : record.host,
+            record.dataCenter.empty() ? hooks.dataCenter : record.dataCenter,
+            record.service,
+            record.operation,
+            record.callClass,
+            rankName(hooks, record.rank.value),
+            std::string(toString(record.reason)),
+            rankName(hooks, record.rankAdmitted),
+            std::int64_t{record.queueLength},
+            std::int64_t{record.limit},
+            record.waited.count};
 }
 
 std::string servedService(const operator_hooks &hooks)
@@ -78,9 +80,9 @@
     for (const refusal_count &count : summary.counts) {
         groups[groupOf(count.key, wanted.by, hooks)] += count.count;
     }
-    query_table table{ "refusals", { "group", "refused" }, {} };
+    query_table table{"refusals", {"group", "refused"}, {}};
     for (const auto &[group, count] : groups) {
-        table.rows.push_back({ group, static_cast<std::int64_t>(count) });
+        table.rows.push_back({group, static_cast<std::int64_t>(count)});
     }
     query_result result = makeAnswer(query_status::ok, "counted at " + hooks.host);
     result.tables.push_back(std::move(table));
@@ -93,9 +95,9 @@
     const refusal_trace trace = hooks.refusals->trace(wanted.root, hooks.wallNow());
     query_result result = makeAnswer(trace.records.empty() ? query_status::not_found : query_status::ok, "records of " + hooks.host);
     result.reach = trace.reach;
-    query_table table{ "refusals of " + toHex(wanted.root.value),
-                       { "time_ms", "host", "data_center", "service", "operation", "class", "rank", "reason", "rank_admitted", "queue", "limit", "waited_ms" },
-                       {} };
+    query_table table{"refusals of " + toHex(wanted.root.value),
+                      {"time_ms", "host", "data_center", "service", "operation", "class", "rank", "reason", "rank_admitted", "queue", "limit", "waited_ms"},
+                      {}};
     for (const refusal_record &record : trace.records) {
         table.rows.push_back(whyRow(record, hooks));
     }
@@ -105,16 +107,16 @@
 
 query_result localUpstreams(const show_upstreams_command &wanted, const operator_hooks &hooks)
 {
-    query_table table{ "upstreams as " + hooks.host + " sees them", { "service", "host", "data_center", "state", "in_flight", "weight", "slots" }, {} };
+    query_table table{"upstreams as " + hooks.host + " sees them", {"service", "host", "data_center", "state", "in_flight", "weight", "slots"}, {}};
     for (const upstream_state &state : hooks.upstreams()) {
         if (wanted.service.empty() || state.subject.service == wanted.service) {
-            table.rows.push_back({ state.subject.service,
-                                   state.subject.host,
-                                   state.subject.dataCenter,
-                                   upstreamState(state),
-                                   std::int64_t{ state.inFlight },
-                                   state.weight,
-                                   std::int64_t{ state.subject.slots } });
+            table.rows.push_back({state.subject.service,
+                                  state.subject.host,
+                                  state.subject.dataCenter,
+                                  upstreamState(state),
+                                  std::int64_t{state.inFlight},
+                                  state.weight,
+                                  std::int64_t{state.subject.slots}});
         }
     }
     query_result result = makeAnswer(query_status::ok, std::to_string(table.rows.size()) + " upstreams");
@@ -124,22 +126,21 @@
 
 query_result localLimits(const show_limits_command & /*wanted*/, const operator_hooks &hooks)
 {
-    query_table table{ "limits",
-                       { "host", "data_center", "service", "limit", "in_use", "waiting", "rank_admitted", "sub_level", "moved_because", "moved_ago_ms" },
-                       {} };
+    query_table table{
+        "limits", {"host", "data_center", "service", "limit", "in_use", "waiting", "rank_admitted", "sub_level", "moved_because", "moved_ago_ms"}, {}};
     if (const std::optional<gate_snapshot> gate = hooks.gate()) {
         const bool hasMoved = gate->limitMovedAt > clock_ms{};
         const query_cell movedAgo = hasMoved ? query_cell((hooks.steadyNow() - gate->limitMovedAt).count) : query_cell(std::string());
-        table.rows.push_back({ hooks.host,
-                               hooks.dataCenter,
-                               servedService(hooks),
-                               std::int64_t{ gate->limit },
-                               std::int64_t{ gate->inUse },
-                               std::int64_t{ gate->waiting },
-                               rankName(hooks, gate->level.rank.value),
-                               std::int64_t{ gate->level.subLevel },
-                               gate->limitReason,
-                               movedAgo });
+        table.rows.push_back({hooks.host,
+                              hooks.dataCenter,
+                              servedService(hooks),
+                              std::int64_t{gate->limit},
+                              std::int64_t{gate->inUse},
+                              std::int64_t{gate->waiting},
+                              rankName(hooks, gate->level.rank.value),
+                              std::int64_t{gate->level.subLevel},
+                              gate->limitReason,
+                              movedAgo});
     }
     query_result result = makeAnswer(query_status::ok, "limit of " + hooks.host);
     result.tables.push_back(std::move(table));
@@ -148,12 +149,12 @@
 
 query_result localInForce(const show_in_force_command &wanted, const operator_hooks &hooks)
 {
-    query_table table{ "in force", { "object", "generation" }, {} };
+    query_table table{"in force", {"object", "generation"}, {}};
     for (const object_generation &object : hooks.generations()) {
         const std::string name = objectName(object);
         const bool isPolicy = object.kind == rankTableKind || object.kind == servicePolicyKind;
         if (isPolicy && (wanted.object.empty() || wanted.object == name)) {
-            table.rows.push_back({ name, static_cast<std::int64_t>(object.generation) });
+            table.rows.push_back({name, static_cast<std::int64_t>(object.generation)});
         }
     }
     query_result result = makeAnswer(query_status::ok, "in force at " + hooks.host);
--- a/src/operator/operator_hooks_type.h
+++ b/src/operator/operator_hooks_type.h
@@ -20,7 +20,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Called once with a daemon's answer as JSON, or with nothing if it gave none in time. May be called on any thread. */
 using ask_handler = std::function<void(std::optional<std::string> json)>;
--- a/src/operator/own_answers.cpp
+++ b/src/operator/own_answers.cpp
@@ -6,9 +6,11 @@
 #include "operator/policy_edit_func.h"
 #include "policy/policy_func.h"
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::int64_t msPerSecond = 1'000;
 
 std::string stateName(member_state state)
@@ -50,29 +52,29 @@
 
 query_table ranksTable(const rank_table &ranks)
 {
-    query_table table{ "ranks, generation " + std::to_string(ranks.generation), { "rank", "name", "protected", "effort" }, {} };
+    query_table table{"ranks, generation " + std::to_string(ranks.generation), {"rank", "name", "protected", "effort"}, {}};
     for (std::size_t index = 0; index < ranks.ranks.size(); ++index) {
         const rank_rule &rank = ranks.ranks[index];
-        table.rows.push_back({ static_cast<std::int64_t>(index), rank.name, std::string(rank.isProtected ? "yes" : "no"), rank.effort });
+        table.rows.push_back({static_cast<std::int64_t>(index), rank.name, std::string(rank.isProtected ? "yes" : "no"), rank.effort});
     }
     return table;
 }
 
 query_table policyTable(const service_policy &policy)
 {
-    query_table table{ policy.service + ", generation " + std::to_string(policy.generation) + ", operation id " + policy.operationId,
-                       { "operation", "class", "rank", "deadline_ms", "kind", "late_limit_ms", "retries", "at_most_once", "passes_through" },
-                       {} };
+    query_table table{policy.service + ", generation " + std::to_string(policy.generation) + ", operation id " + policy.operationId,
+                      {"operation", "class", "rank", "deadline_ms", "kind", "late_limit_ms", "retries", "at_most_once", "passes_through"},
+                      {}};
     for (const operation_rule &rule : policy.operations) {
-        table.rows.push_back({ rule.name,
-                               rule.callClass,
-                               rule.rankName,
-                               rule.deadline.count,
-                               std::string(rule.lateOk ? "late-ok" : "strict"),
-                               rule.lateLimit.count,
-                               std::int64_t{ rule.retries },
-                               std::string(rule.atMostOnce ? "yes" : "no"),
-                               joinNames(rule.passesThrough) });
+        table.rows.push_back({rule.name,
+                              rule.callClass,
+                              rule.rankName,
+                              rule.deadline.count,
+                              std::string(rule.lateOk ? "late-ok" : "strict"),
+                              rule.lateLimit.count,
+                              std::int64_t{rule.retries},
+                              std::string(rule.atMostOnce ? "yes" : "no"),
+                              joinNames(rule.passesThrough)});
     }
     return table;
 }
@@ -82,18 +84,17 @@
 {
     const std::vector<member_record> members = membersOf(hooks, wanted.service, wanted.dataCenter);
     const std::uint64_t digest = hooks.configurationDigest();
-    query_table table{ "members as " + hooks.host + " sees them",
-                       { "host", "data_center", "state", "service", "server", "slots", "serving_s", "configuration" },
-                       {} };
+    query_table table{
+        "members as " + hooks.host + " sees them", {"host", "data_center", "state", "service", "server", "slots", "serving_s", "configuration"}, {}};
     for (const member_record &member : members) {
-        table.rows.push_back({ member.host,
-                               member.dataCenter,
-                               stateName(member.state),
-                               member.service,
-                               serverName(member.server),
-                               std::int64_t{ member.slots },
-                               member.servingFor.count / msPerSecond,
-                               std::string(member.configurationDigest == digest ? "same" : "other") });
+        table.rows.push_back({member.host,
+                              member.dataCenter,
+                              stateName(member.state),
+                              member.service,
+                              serverName(member.server),
+                              std::int64_t{member.slots},
+                              member.servingFor.count / msPerSecond,
+                              std::string(member.configurationDigest == digest ? "same" : "other")});
     }
     query_result result = makeAnswer(query_status::ok, std::to_string(members.size()) + " members");
     result.tables.push_back(std::move(table));
@@ -124,7 +125,7 @@
     try {
         service_policy given = parseServicePolicy(wanted.json);
         if (given.service != wanted.service) {
-            throw policy_error({ { "service", "another service", wanted.service } });
+            throw policy_error({{"service", "another service", wanted.service}});
         }
         result.differences = compareObjects(before, formatServicePolicy(given));
         result.faults = toChangeFaults(checkPolicySet(*policies->withService(std::move(given))));
@@ -140,9 +141,9 @@
 
 query_result showHelp()
 {
-    query_table table{ "commands", { "command", "meaning" }, {} };
+    query_table table{"commands", {"command", "meaning"}, {}};
     for (const command_row &row : commandRows()) {
-        table.rows.push_back({ std::string(row.grammar), std::string(row.help) });
+        table.rows.push_back({std::string(row.grammar), std::string(row.help)});
     }
     query_result result = makeAnswer(query_status::ok, "a change may stand after `preview` and end with `from generation N`");
     result.tables.push_back(std::move(table));
--- a/src/operator/placeholder_table.cpp
+++ b/src/operator/placeholder_table.cpp
@@ -7,12 +7,14 @@
 
 #include <array>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
-constexpr std::array<std::string_view, 5> groupings = { "reason", "rank", "class", "service", "data-center" };
-constexpr std::array<std::string_view, 2> yesNo = { "yes", "no" };
-constexpr std::array<std::string_view, 2> kinds = { "strict", "late-ok" };
+namespace
+{
+constexpr std::array<std::string_view, 5> groupings = {"reason", "rank", "class", "service", "data-center"};
+constexpr std::array<std::string_view, 2> yesNo = {"yes", "no"};
+constexpr std::array<std::string_view, 2> kinds = {"strict", "late-ok"};
 
 bool isSpan(std::string_view word)
 {
@@ -55,24 +57,24 @@
     return word.starts_with('{');
 }
 
-const std::array<placeholder_row, 16> rows = { {
-    { "SERVICE", "name of a service", isPolicyName, {} },
-    { "SERVICE/OPERATION", "names of a service and its operation, such as pitchdesk/hold", isOperationPath, {} },
-    { "SERVICES", "names of services joined by commas, or `nothing`", isServiceList, {} },
-    { "OBJECT", "name of a service, or `ranks`", isPolicyName, {} },
-    { "RANK", "name of a rank", isPolicyName, {} },
-    { "CLASS", "name of a class", isPolicyName, {} },
-    { "HOST", "name of a host", isHostName, {} },
-    { "DATA-CENTER", "name of a data centre", isHostName, {} },
-    { "SPAN", "time such as 500ms, 30s, 5m or 1h", isSpan, {} },
-    { "ROOT", "root id, 16 hexadecimal digits, not all 0", isRoot, {} },
-    { "NUMBER", "number that isn't negative", isNumber, {} },
-    { "COUNT", "whole number", isWhole, {} },
-    { "KEY", "reason, rank, class, service or data-center", nullptr, groupings },
-    { "YES-NO", "yes or no", nullptr, yesNo },
-    { "KIND", "strict or late-ok", nullptr, kinds },
-    { "JSON", "JSON object up to the end of the line", isJsonObject, {} },
-} };
+const std::array<placeholder_row, 16> rows = {{
+    {"SERVICE", "name of a service", isPolicyName, {}},
+    {"SERVICE/OPERATION", "names of a service and its operation, such as pitchdesk/hold", isOperationPath, {}},
+    {"SERVICES", "names of services joined by commas, or `nothing`", isServiceList, {}},
+    {"OBJECT", "name of a service, or `ranks`", isPolicyName, {}},
+    {"RANK", "name of a rank", isPolicyName, {}},
+    {"CLASS", "name of a class", isPolicyName, {}},
+    {"HOST", "name of a host", isHostName, {}},
+    {"DATA-CENTER", "name of a data centre", isHostName, {}},
+    {"SPAN", "time such as 500ms, 30s, 5m or 1h", isSpan, {}},
+    {"ROOT", "root id, 16 hexadecimal digits, not all 0", isRoot, {}},
+    {"NUMBER", "number that isn't negative", isNumber, {}},
+    {"COUNT", "whole number", isWhole, {}},
+    {"KEY", "reason, rank, class, service or data-center", nullptr, groupings},
+    {"YES-NO", "yes or no", nullptr, yesNo},
+    {"KIND", "strict or late-ok", nullptr, kinds},
+    {"JSON", "JSON object up to the end of the line", isJsonObject, {}},
+}};
 } // namespace
 
 std::span<const placeholder_row> placeholderRows()
--- a/src/operator/policy_change.cpp
+++ b/src/operator/policy_change.cpp
@@ -14,11 +14,13 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr int maxAttempts = 6; ///< Calls to the platform that may fail before the change is given up.
-constexpr clock_ms retryDelay{ 250 }; ///< Between two attempts.
+constexpr clock_ms retryDelay{250}; ///< Between two attempts.
 
 class policy_change : public std::enable_shared_from_this<policy_change>
 {
@@ -48,14 +50,17 @@
 private:
     void read()
     {
-        m_hooks.platform->get(
-            m_target.kind, m_target.name, [self = shared_from_this()](const platform_result<platform_object> &result) { self->haveRead(result); });
+        m_hooks.platform->get(m_target.kind, m_target.name, [self = shared_from_this()](const platform_result<platform_object> &result) {
+            self->haveRead(result);
+        });
     }
 
     void haveRead(const platform_result<platform_object> &result)
     {
         if (result.failure != platform_failure::none && result.failure != platform_failure::not_found) {
-            if (!tryAgain([this] { read(); })) {
+            if (!tryAgain([this] {
+                    read();
+                })) {
                 finish(query_status::unreachable, "the platform can't be read (" + std::string(toString(result.failure)) + "); nothing was written");
             }
             return;
@@ -138,7 +143,7 @@
             readBack();
             return;
         case platform_failure::too_large:
-            refuse({ { "(object)", "too large", "at most " + std::to_string(maxObjectSize) + " bytes" } });
+            refuse({{"(object)", "too large", "at most " + std::to_string(maxObjectSize) + " bytes"}});
             return;
         case platform_failure::timeout:
         case platform_failure::connection_lost:
@@ -150,7 +155,9 @@
         case platform_failure::over_budget:
             break; // Nothing was sent.
         }
-        if (!tryAgain([this] { write(); })) {
+        if (!tryAgain([this] {
+                write();
+            })) {
             giveUp(result.failure);
         }
     }
@@ -158,8 +165,9 @@
     /** After a conflict: finds out whose write came first. */
     void readBack()
     {
-        m_hooks.platform->get(
-            m_target.kind, m_target.name, [self = shared_from_this()](const platform_result<platform_object> &result) { self->haveReadBack(result); });
+        m_hooks.platform->get(m_target.kind, m_target.name, [self = shared_from_this()](const platform_result<platform_object> &result) {
+            self->haveReadBack(result);
+        });
     }
 
     void haveReadBack(const platform_result<platform_object> &result)
@@ -167,7 +175,9 @@
         const bool isStale = result.failure == platform_failure::none && result.value.version < m_currentVersion;
         const bool isAbsent = result.failure == platform_failure::not_found;
         if (isStale || (result.failure != platform_failure::none && !isAbsent)) {
-            if (!tryAgain([this] { readBack(); })) {
+            if (!tryAgain([this] {
+                    readBack();
+                })) {
                 giveUpReadingBack(result.failure);
             }
             return;
@@ -177,7 +187,9 @@
             accept();
         } else if (held && isBaseOrOlder(*held)) {
             m_version = result.value.version; // The first read was an old copy, not a race.
-            if (!tryAgain([this] { write(); })) {
+            if (!tryAgain([this] {
+                    write();
+                })) {
                 giveUp(platform_failure::conflict);
             }
         } else {
@@ -246,11 +258,10 @@
 
     void accept()
     {
-        const offer_result offered = m_hooks.offer({ m_target.kind, m_target.name, generationOf(m_edited), m_value });
-        logEvent(
-            log_level::info,
-            "change_accepted",
-            { { "kind", m_target.kind }, { "name", m_target.name }, { "generation", generationOf(m_edited) }, { "operation_id", operationIdOf(m_edited) } });
+        const offer_result offered = m_hooks.offer({m_target.kind, m_target.name, generationOf(m_edited), m_value});
+        logEvent(log_level::info,
+                 "change_accepted",
+                 {{"kind", m_target.kind}, {"name", m_target.name}, {"generation", generationOf(m_edited)}, {"operation_id", operationIdOf(m_edited)}});
         query_result result = makeAnswer(query_status::accepted, "the platform has it as generation " + std::to_string(generationOf(m_edited)));
         if (offered == offer_result::conflicting || offered == offer_result::stale) {
             result.summary += "; this daemon has meanwhile a later change in force";
@@ -261,17 +272,19 @@
 
     named_generation named(const policy_object &object) const
     {
-        return { m_target.kind, m_target.name, generationOf(object), operationIdOf(object) };
+        return {m_target.kind, m_target.name, generationOf(object), operationIdOf(object)};
     }
 
     /** @return False if there were too many attempts. */
-    template <typename Action>
+    template<typename Action>
     bool tryAgain(Action action)
     {
         if (++m_attempts >= maxAttempts) {
             return false;
         }
-        m_hooks.schedule(retryDelay, [self = shared_from_this(), action] { action(); });
+        m_hooks.schedule(retryDelay, [self = shared_from_this(), action] {
+            action();
+        });
         return true;
     }
 
--- a/src/operator/policy_edit.cpp
+++ b/src/operator/policy_edit.cpp
@@ -9,9 +9,11 @@
 #include <algorithm>
 #include <map>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 namespace json = boost::json;
 
 using flat_values = std::map<std::string, std::string>;
@@ -29,7 +31,9 @@
 
 bool holdsObjects(const json::array &list)
 {
-    return std::ranges::any_of(list, [](const json::value &element) { return element.is_object(); });
+    return std::ranges::any_of(list, [](const json::value &element) {
+        return element.is_object();
+    });
 }
 
 /** Collects the values of a document by path; lists of plain values count as one value. */
@@ -100,16 +104,16 @@
 edited_object targetOf(const change_command &wanted)
 {
     if (std::holds_alternative<rank_edit>(wanted.edit)) {
-        return { std::string(rankTableKind), std::string(rankTableName) };
+        return {std::string(rankTableKind), std::string(rankTableName)};
     }
     if (const auto *operation = std::get_if<operation_edit>(&wanted.edit)) {
-        return { std::string(servicePolicyKind), operation->service };
+        return {std::string(servicePolicyKind), operation->service};
     }
     const policy_object parsed = parseEdit(std::get<object_edit>(wanted.edit));
     if (const auto *policy = std::get_if<service_policy>(&parsed)) {
-        return { std::string(servicePolicyKind), policy->service };
+        return {std::string(servicePolicyKind), policy->service};
     }
-    return { std::string(rankTableKind), std::string(rankTableName) };
+    return {std::string(rankTableKind), std::string(rankTableName)};
 }
 
 policy_object parseObject(std::string_view kind, std::string_view text)
@@ -125,12 +129,20 @@
 
 std::uint64_t generationOf(const policy_object &object)
 {
-    return std::visit([](const auto &held) { return held.generation; }, object);
+    return std::visit(
+        [](const auto &held) {
+            return held.generation;
+        },
+        object);
 }
 
 const std::string &operationIdOf(const policy_object &object)
 {
-    return std::visit([](const auto &held) -> const std::string & { return held.operationId; }, object);
+    return std::visit(
+        [](const auto &held) -> const std::string & {
+            return held.operationId;
+        },
+        object);
 }
 
 void nameWrite(policy_object &object, std::uint64_t generation, std::string operationId)
@@ -190,12 +202,12 @@
     for (const auto &[path, value] : old) {
         const auto found = fresh.find(path);
         if (found == fresh.end() || found->second != value) {
-            differences.push_back({ path, value, found == fresh.end() ? "" : found->second });
+            differences.push_back({path, value, found == fresh.end() ? "" : found->second});
         }
     }
     for (const auto &[path, value] : fresh) {
         if (!old.contains(path)) {
-            differences.push_back({ path, "", value });
+            differences.push_back({path, "", value});
         }
     }
     return differences;
@@ -206,7 +218,7 @@
     std::vector<change_fault> made;
     made.reserve(faults.size());
     for (const policy_fault &fault : faults) {
-        made.push_back({ fault.path, fault.problem, fault.allowed });
+        made.push_back({fault.path, fault.problem, fault.allowed});
     }
     return made;
 }
--- a/src/operator/policy_edit_func.h
+++ b/src/operator/policy_edit_func.h
@@ -13,7 +13,8 @@
 #include <variant>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** The object that a change concerns. */
 struct edited_object {
--- a/src/operator/policy_files.cpp
+++ b/src/operator/policy_files.cpp
@@ -12,15 +12,17 @@
 #include <memory>
 #include <ostream>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 /** Reads at most one byte more than an object may have, so that the parser refuses what is too large. */
 std::string readFile(const std::string &file)
 {
     std::ifstream stream(file, std::ios::binary);
     if (!stream) {
-        throw policy_error({ { "(file)", "can't be read", "a file that exists" } });
+        throw policy_error({{"(file)", "can't be read", "a file that exists"}});
     }
     std::string text(maxObjectSize + 1, '\0');
     stream.read(text.data(), static_cast<std::streamsize>(text.size()));
@@ -51,7 +53,7 @@
     }
     service_policy policy = parseServicePolicy(text);
     if (set.services().contains(policy.service)) {
-        throw policy_error({ { "service", "duplicate", "a service that no other file names" } });
+        throw policy_error({{"service", "duplicate", "a service that no other file names"}});
     }
     return set.withService(std::move(policy));
 }
--- a/src/operator/prompt.cpp
+++ b/src/operator/prompt.cpp
@@ -14,9 +14,11 @@
 #include <optional>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr int historySize = 1'000; // Lines.
 
 /** Words that complete the one under the cursor; libedit asks for them one by one. */
@@ -32,7 +34,9 @@
 char **completeWord(const char *text, int start, int /*end*/)
 {
     completions = nextWords(std::string_view(rl_line_buffer, static_cast<std::size_t>(start)));
-    std::erase_if(completions, [text](const std::string &word) { return !word.starts_with(text) || (word.front() >= 'A' && word.front() <= 'Z'); });
+    std::erase_if(completions, [text](const std::string &word) {
+        return !word.starts_with(text) || (word.front() >= 'A' && word.front() <= 'Z');
+    });
     rl_attempted_completion_over = 1; // Never file names.
     return rl_completion_matches(text, nextMatch);
 }
--- a/src/operator/query.cpp
+++ b/src/operator/query.cpp
@@ -11,9 +11,11 @@
 #include <atomic>
 #include <exception>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 using namespace detail; // NOLINT(google-build-using-namespace): the steps of a query live there.
 
 query_result notUnderstood(const parse_error &wrong)
@@ -72,7 +74,7 @@
     }
     void operator()(const drain_command &wanted)
     {
-        logEvent(log_level::info, "operator_drain", { { "subject", wanted.host }, { "draining", wanted.draining } });
+        logEvent(log_level::info, "operator_drain", {{"subject", wanted.host}, {"draining", wanted.draining}});
         fleetDrain(wanted, std::move(run));
     }
     void operator()(const help_command & /*wanted*/)
@@ -113,7 +115,7 @@
     {
         return localDrain(wanted, hooks);
     }
-    template <typename Other>
+    template<typename Other>
     query_result operator()(const Other & /*wanted*/) const
     {
         return makeAnswer(query_status::usage, "not a question for one daemon alone");
@@ -126,7 +128,7 @@
         return makeAnswer(query_status::usage, "a question to one daemon begins with `local`");
     }
     try {
-        return std::visit(local_answerer{ hooks }, parseCommand(query.substr(localPrefix.size())));
+        return std::visit(local_answerer{hooks}, parseCommand(query.substr(localPrefix.size())));
     } catch (const parse_error &wrong) {
         return notUnderstood(wrong);
     }
@@ -135,7 +137,7 @@
 
 void runQuery(std::string_view text, std::shared_ptr<const operator_hooks> hooks, query_handler handler)
 {
-    query_run run{ std::move(hooks), std::string(text), answerOnce(std::move(handler)) };
+    query_run run{std::move(hooks), std::string(text), answerOnce(std::move(handler))};
     command parsed;
     try {
         parsed = parseCommand(text);
@@ -145,9 +147,9 @@
     }
     const query_handler answer = run.handler;
     try {
-        std::visit(command_starter{ std::move(run) }, parsed);
+        std::visit(command_starter{std::move(run)}, parsed);
     } catch (const std::exception &failed) { // A query never ends the daemon.
-        logEvent(log_level::error, "query_failed", { { "error", failed.what() } });
+        logEvent(log_level::error, "query_failed", {{"error", failed.what()}});
         answer(formatResultJson(makeAnswer(query_status::failed, std::string("the daemon couldn't answer: ") + failed.what())));
     }
 }
--- a/src/operator/query_func.h
+++ b/src/operator/query_func.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 constexpr std::size_t maxQueryLength = 1'100'000; ///< Bytes of a query; one may hold a whole policy.
 
