--- a/src/operator/query_result_json.cpp
+++ b/src/operator/query_result_json.cpp
@@ -6,16 +6,22 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 namespace json = boost::json;
 
 /** Replaces what would make JSON that others refuse: names in records may come from a network. */
 std::string printable(std::string text)
 {
     std::ranges::replace_if(
-        text, [](char character) { return character < ' ' || character > '~'; }, '?');
+        text,
+        [](char character) {
+            return character < ' ' || character > '~';
+        },
+        '?');
     return text;
 }
 
@@ -24,7 +30,11 @@
     if (const auto *text = std::get_if<std::string>(&cell)) {
         return json::value(printable(*text));
     }
-    return std::visit([](const auto &value) { return json::value(value); }, cell);
+    return std::visit(
+        [](const auto &value) {
+            return json::value(value);
+        },
+        cell);
 }
 
 json::object tableJson(const query_table &table)
@@ -44,20 +54,20 @@
 
 json::object generationJson(const named_generation &named)
 {
-    return { { "kind", named.kind }, { "name", named.name }, { "generation", named.generation }, { "operation_id", named.operationId } };
+    return {{"kind", named.kind}, {"name", named.name}, {"generation", named.generation}, {"operation_id", named.operationId}};
 }
 
 json::object parseFaultJson(const parse_fault &fault)
 {
-    return { { "position", fault.position },
-             { "word", fault.word },
-             { "problem", fault.problem },
-             { "expected", json::value_from(fault.expected) },
-             { "nearest", fault.nearest } };
+    return {{"position", fault.position},
+            {"word", fault.word},
+            {"problem", fault.problem},
+            {"expected", json::value_from(fault.expected)},
+            {"nearest", fault.nearest}};
 }
 
 /** Writes a list of elements by `writeOne`; nothing if it is empty. */
-template <typename Element, typename Write>
+template<typename Element, typename Write>
 void putList(json::object &into, std::string_view key, const std::vector<Element> &elements, Write writeOne)
 {
     if (elements.empty()) {
@@ -71,17 +81,17 @@
 
 json::object missingJson(const missing_part &part)
 {
-    return { { "host", part.host }, { "data_center", part.dataCenter }, { "problem", part.problem } };
+    return {{"host", part.host}, {"data_center", part.dataCenter}, {"problem", part.problem}};
 }
 
 json::object faultJson(const change_fault &fault)
 {
-    return { { "path", fault.path }, { "problem", fault.problem }, { "allowed", fault.allowed } };
+    return {{"path", fault.path}, {"problem", fault.problem}, {"allowed", fault.allowed}};
 }
 
 json::object differenceJson(const value_difference &difference)
 {
-    return { { "path", difference.path }, { "before", difference.before }, { "after", difference.after } };
+    return {{"path", difference.path}, {"before", difference.before}, {"after", difference.after}};
 }
 
 std::string textAt(const json::object &source, std::string_view key)
@@ -107,7 +117,7 @@
 
 query_table readTable(const json::object &source)
 {
-    query_table table{ textAt(source, "title"), textsAt(source, "columns"), {} };
+    query_table table{textAt(source, "title"), textsAt(source, "columns"), {}};
     for (const json::value &cells : source.at("rows").as_array()) {
         query_row &row = table.rows.emplace_back();
         for (const json::value &cell : cells.as_array()) {
@@ -122,20 +132,20 @@
 
 named_generation readGeneration(const json::object &source)
 {
-    return { textAt(source, "kind"), textAt(source, "name"), source.at("generation").to_number<std::uint64_t>(), textAt(source, "operation_id") };
+    return {textAt(source, "kind"), textAt(source, "name"), source.at("generation").to_number<std::uint64_t>(), textAt(source, "operation_id")};
 }
 
 parse_fault readParseFault(const json::object &source)
 {
-    return { source.at("position").to_number<std::size_t>(),
-             textAt(source, "word"),
-             textAt(source, "problem"),
-             textsAt(source, "expected"),
-             textAt(source, "nearest") };
+    return {source.at("position").to_number<std::size_t>(),
+            textAt(source, "word"),
+            textAt(source, "problem"),
+            textsAt(source, "expected"),
+            textAt(source, "nearest")};
 }
 
 /** Reads a list that may be absent. */
-template <typename Read>
+template<typename Read>
 void readList(const json::object &source, std::string_view key, Read readOne)
 {
     if (const json::value *list = source.if_contains(key)) {
@@ -150,15 +160,17 @@
     query_result result;
     result.status = parseStatus(textAt(source, "status"));
     result.summary = textAt(source, "summary");
-    readList(source, "tables", [&](const json::object &table) { result.tables.push_back(readTable(table)); });
+    readList(source, "tables", [&](const json::object &table) {
+        result.tables.push_back(readTable(table));
+    });
     readList(source, "missing", [&](const json::object &part) {
-        result.missing.push_back({ textAt(part, "host"), textAt(part, "data_center"), textAt(part, "problem") });
+        result.missing.push_back({textAt(part, "host"), textAt(part, "data_center"), textAt(part, "problem")});
     });
     readList(source, "faults", [&](const json::object &fault) {
-        result.faults.push_back({ textAt(fault, "path"), textAt(fault, "problem"), textAt(fault, "allowed") });
+        result.faults.push_back({textAt(fault, "path"), textAt(fault, "problem"), textAt(fault, "allowed")});
     });
     readList(source, "differences", [&](const json::object &difference) {
-        result.differences.push_back({ textAt(difference, "path"), textAt(difference, "before"), textAt(difference, "after") });
+        result.differences.push_back({textAt(difference, "path"), textAt(difference, "before"), textAt(difference, "after")});
     });
     if (const json::value *fault = source.if_contains("parse_fault")) {
         result.parseFault = readParseFault(fault->as_object());
@@ -173,7 +185,7 @@
         result.other = readGeneration(other->as_object());
     }
     if (const json::value *reach = source.if_contains("reach_ms")) {
-        result.reach = clock_ms{ reach->to_number<std::int64_t>() };
+        result.reach = clock_ms{reach->to_number<std::int64_t>()};
     }
     return result;
 }
--- a/src/operator/query_result_text.cpp
+++ b/src/operator/query_result_text.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <cstdio>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t shownMissing = 10; ///< Missing parts that are named one by one.
 
 std::string cellText(const query_cell &cell)
@@ -41,7 +43,7 @@
 
 void appendTable(std::string &text, const query_table &table)
 {
-    std::vector<std::vector<std::string>> lines{ table.columns };
+    std::vector<std::vector<std::string>> lines{table.columns};
     for (const query_row &row : table.rows) {
         std::vector<std::string> &line = lines.emplace_back();
         std::ranges::transform(row, std::back_inserter(line), cellText);
--- a/src/operator/query_result_type.h
+++ b/src/operator/query_result_type.h
@@ -13,7 +13,8 @@
 #include <variant>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 using query_cell = std::variant<std::string, std::int64_t, double>;
 using query_row = std::vector<query_cell>;
--- a/src/operator/query_run.cpp
+++ b/src/operator/query_run.cpp
@@ -2,20 +2,21 @@
 
 #include "operator/query_run_func.h"
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 fleet_answers readParts(const std::vector<asked_part> &parts)
 {
     fleet_answers read;
     for (const asked_part &part : parts) {
         if (!part.json) {
-            read.missing.push_back({ part.member.host, part.member.dataCenter, "no answer in time" });
+            read.missing.push_back({part.member.host, part.member.dataCenter, "no answer in time"});
             continue;
         }
         try {
-            read.answers.push_back({ part.member, parseResultJson(*part.json) });
+            read.answers.push_back({part.member, parseResultJson(*part.json)});
         } catch (const query_result_error &malformed) {
-            read.missing.push_back({ part.member.host, part.member.dataCenter, malformed.what() });
+            read.missing.push_back({part.member.host, part.member.dataCenter, malformed.what()});
         }
     }
     return read;
--- a/src/operator/query_run_func.h
+++ b/src/operator/query_run_func.h
@@ -14,7 +14,8 @@
 #include <utility>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 constexpr std::string_view localPrefix = "local "; ///< Begins a question that one daemon answers alone.
 
--- a/src/operator/refusal_log.cpp
+++ b/src/operator/refusal_log.cpp
@@ -6,9 +6,11 @@
 #include <map>
 #include <mutex>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::int64_t msPerSecond = 1'000;
 constexpr std::uint32_t otherKey = 0; ///< Index of the key that counts what has no place of its own.
 
@@ -33,13 +35,13 @@
     std::size_t next = 0; ///< Where the next record goes once the ring is full.
     std::map<refusal_key, std::uint32_t> indexes;
     std::vector<refusal_key> keys;
-    std::vector<second_counts> seconds{ refusalSeconds };
+    std::vector<second_counts> seconds{refusalSeconds};
 
     state(std::size_t ringCapacity, clock_ms start)
         : capacity(std::max<std::size_t>(ringCapacity, 1))
         , started(start)
         , last(start)
-        , keys{ refusal_key{ "other", rank_id::invalid(), "other", outcome_reason::none } }
+        , keys{refusal_key{"other", rank_id::invalid(), "other", outcome_reason::none}}
     {
     }
 
@@ -118,7 +120,7 @@
     const std::lock_guard lock(m_state->mutex);
     m_state->last = std::max(m_state->last, wallNow);
     record.at = m_state->last;
-    m_state->count(m_state->indexOf({ record.service, record.rank, record.callClass, record.reason }), m_state->last);
+    m_state->count(m_state->indexOf({record.service, record.rank, record.callClass, record.reason}), m_state->last);
     m_state->keep(std::move(record));
 }
 
@@ -139,12 +141,12 @@
     refusal_summary summary;
     for (const auto &[index, count] : sums) {
         if (matches(m_state->keys[index], service)) {
-            summary.counts.push_back({ m_state->keys[index], count });
+            summary.counts.push_back({m_state->keys[index], count});
         }
     }
     std::ranges::sort(summary.counts, {}, &refusal_count::key);
     const std::int64_t covered = std::min(wanted * msPerSecond, std::max<std::int64_t>(0, (wallNow - m_state->started).count));
-    summary.reach = { covered };
+    summary.reach = {covered};
     return summary;
 }
 
--- a/src/operator/refusal_log_base.h
+++ b/src/operator/refusal_log_base.h
@@ -13,7 +13,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 constexpr std::size_t refusalSeconds = 900; ///< Seconds for which counts are kept.
 constexpr std::size_t maxRefusalKeys = 4'096; ///< Different keys that are counted; others are counted under `other`.
--- a/src/operator/subcommands_func.h
+++ b/src/operator/subcommands_func.h
@@ -10,7 +10,8 @@
 #include <span>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 constexpr std::size_t maxPolicyFiles = 1'024; ///< Files of one check.
 
--- a/src/operator/tokenizer.cpp
+++ b/src/operator/tokenizer.cpp
@@ -5,14 +5,16 @@
 #include "operator/command_type.h"
 #include "operator/query_func.h"
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::string_view blanks = " \t\r\n";
 
 [[noreturn]] void refuse(std::size_t position, std::string expected)
 {
-    throw parse_error({ position, "", "malformed line", { std::move(expected) }, "" });
+    throw parse_error({position, "", "malformed line", {std::move(expected)}, ""});
 }
 
 /** Finds the byte after the bracket that closes the one at `begin`. */
@@ -73,7 +75,7 @@
             refuse(position, "at most " + std::to_string(maxWords) + " words");
         }
         const std::size_t end = line[position] == '{' ? endOfJson(line, position) : endOfWord(line, position);
-        words.push_back({ std::string(line.substr(position, end - position)), position });
+        words.push_back({std::string(line.substr(position, end - position)), position});
         position = line.find_first_not_of(blanks, end);
     }
     return words;
--- a/src/operator/tokenizer_func.h
+++ b/src/operator/tokenizer_func.h
@@ -7,7 +7,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 constexpr std::size_t maxWords = 64; ///< Words of one line.
 constexpr std::size_t maxWordLength = 4'096; ///< Bytes of one word; JSON may be longer.
--- a/src/operator/value_parser.cpp
+++ b/src/operator/value_parser.cpp
@@ -7,9 +7,11 @@
 #include <charconv>
 #include <cmath>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::int64_t longestSpan = 86'400'000; // Milliseconds.
 
 std::optional<std::int64_t> unitOf(std::string_view unit)
@@ -61,7 +63,7 @@
     if (!number || !unit || *number == 0 || *number > static_cast<std::uint64_t>(longestSpan / *unit)) {
         return std::nullopt;
     }
-    return clock_ms{ static_cast<std::int64_t>(*number) * *unit };
+    return clock_ms{static_cast<std::int64_t>(*number) * *unit};
 }
 
 std::optional<std::vector<std::string>> parseServiceList(std::string_view word)
--- a/src/operator/value_parser_func.h
+++ b/src/operator/value_parser_func.h
@@ -10,7 +10,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** Parses a time such as `500ms`, `30s`, `5m`, `1h`, of at most 24 hours. */
 std::optional<clock_ms> parseSpan(std::string_view word);
--- a/src/peer/exchange_codec.cpp
+++ b/src/peer/exchange_codec.cpp
@@ -5,9 +5,11 @@
 
 #include <utility>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr int maxExchangeMembers = 65'536; ///< Records of one exchange.
 constexpr int maxExchangeObjects = 65'536; ///< Generations or objects of one exchange.
 
@@ -29,7 +31,7 @@
     }
     std::vector<object_generation> generations;
     for (const wire::Object_Generation &message : messages) {
-        generations.push_back({ message.kind(), message.name(), message.generation(), message.operation() });
+        generations.push_back({message.kind(), message.name(), message.generation(), message.operation()});
     }
     return generations;
 }
@@ -131,7 +133,7 @@
     exchange_reply reply;
     reply.members = decodeMembers(message.members());
     for (const wire::Object &object : message.newer()) {
-        reply.newer.push_back({ object.kind(), object.name(), object.generation(), object.value() });
+        reply.newer.push_back({object.kind(), object.name(), object.generation(), object.value()});
     }
     reply.wanted = decodeGenerations(message.wanted());
     reply.membersDiffer = message.members_differ();
--- a/src/peer/peer_client.cpp
+++ b/src/peer/peer_client.cpp
@@ -18,9 +18,11 @@
 #include <mutex>
 #include <unordered_set>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::int64_t unusedChannelLife = 60'000; // Milliseconds.
 constexpr int connectBackoff = 200; // Milliseconds, the first and least one.
 constexpr int maxConnectBackoff = 2'000; // Milliseconds.
@@ -28,11 +30,11 @@
 /** One peer's channel. */
 struct peer_channel {
     std::unique_ptr<wire::Peer::Stub> stub;
-    std::atomic<std::int64_t> lastUse{ 0 }; ///< Milliseconds on the monotonic clock.
+    std::atomic<std::int64_t> lastUse{0}; ///< Milliseconds on the monotonic clock.
 };
 
 /** A message on its way, with all that gRPC needs until it has ended. */
-template <typename Request, typename Reply>
+template<typename Request, typename Reply>
 struct message : peer_pending {
     void cancel() override
     {
@@ -66,7 +68,8 @@
 
 } // namespace
 
-namespace {
+namespace
+{
 
 constexpr std::size_t shardCount = 16; ///< Locks of the messages on their way.
 
@@ -145,10 +148,11 @@
     std::array<message_shard, shardCount> shards;
 };
 
-namespace {
+namespace
+{
 
 /** Prepares a message with its time limit. */
-template <typename Request, typename Reply>
+template<typename Request, typename Reply>
 std::shared_ptr<message<Request, Reply>> prepare(const std::shared_ptr<peer_channel> &channel, Request request, clock_ms timeLimit)
 {
     auto sent = std::make_shared<message<Request, Reply>>();
@@ -268,7 +272,9 @@
 
 void peer_client::dropUnused(clock_ms now)
 {
-    const auto isUnused = [now](const auto &known) { return now.count - known.second->lastUse.load(std::memory_order_relaxed) > unusedChannelLife; };
+    const auto isUnused = [now](const auto &known) {
+        return now.count - known.second->lastUse.load(std::memory_order_relaxed) > unusedChannelLife;
+    };
     const std::lock_guard lock(m_state->channelsMutex);
     const auto known = m_state->channels.load();
     if (std::ranges::none_of(*known, isUnused)) {
@@ -287,7 +293,9 @@
         for (const auto &pending : shard.messages) {
             pending->cancel();
         }
-        shard.drained.wait(lock, [&shard] { return shard.messages.empty(); });
+        shard.drained.wait(lock, [&shard] {
+            return shard.messages.empty();
+        });
     }
     const std::lock_guard lock(m_state->channelsMutex);
     m_state->channels.publish(std::make_shared<const channel_map>());
--- a/src/peer/peer_client_base.h
+++ b/src/peer/peer_client_base.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Thread-safe. Keeps one channel for each peer it has lately talked to. Handlers run on gRPC's threads. */
 class peer_client
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxHeaders = 256; ///< Headers of one call or reply.
 constexpr std::size_t maxLevels = 64; ///< Levels of one reply.
 
@@ -27,7 +29,7 @@
     std::vector<http_field> decoded;
     decoded.reserve(static_cast<std::size_t>(headers.size()));
     for (const wire::Header &header : headers) {
-        decoded.push_back({ header.name(), header.value() });
+        decoded.push_back({header.name(), header.value()});
     }
     return decoded;
 }
@@ -38,12 +40,12 @@
         throw peer_format_error("rank, depth or retry allowance out of range");
     }
     call_context context;
-    context.root = root_id{ message.root() };
-    context.rank = rank_id{ static_cast<std::uint8_t>(message.rank()) };
+    context.root = root_id{message.root()};
+    context.rank = rank_id{static_cast<std::uint8_t>(message.rank())};
     context.callClass = message.call_class();
     context.isProtected = message.is_protected();
     context.lateOk = message.late_ok();
-    context.deadline = now + clock_ms{ message.remaining_ms() };
+    context.deadline = now + clock_ms{message.remaining_ms()};
     context.depth = static_cast<std::uint8_t>(message.depth());
     context.retryAllowance = message.retry_allowance();
     return context;
@@ -57,8 +59,8 @@
     heard_level heard;
     heard.service = message.service();
     heard.host = message.host();
-    heard.level = { rank_id{ static_cast<std::uint8_t>(message.rank()) }, static_cast<std::uint16_t>(message.sub_level()) };
-    heard.age = { message.age_ms() };
+    heard.level = {rank_id{static_cast<std::uint8_t>(message.rank())}, static_cast<std::uint16_t>(message.sub_level())};
+    heard.age = {message.age_ms()};
     return heard;
 }
 
@@ -107,8 +109,8 @@
 peer_call decodeCall(const wire::Call_Request &message, clock_ms now)
 {
     peer_call call;
-    call.attempt = call_id{ message.attempt() };
-    call.homeIncarnation = incarnation_id{ message.home_incarnation() };
+    call.attempt = call_id{message.attempt()};
+    call.homeIncarnation = incarnation_id{message.home_incarnation()};
     call.request.context = decodeContext(message, now);
     call.request.service = message.service();
     call.request.operation = message.operation();
@@ -160,7 +162,7 @@
         throw peer_format_error("unknown outcome or too many levels");
     }
     peer_reply reply;
-    reply.attempt = call_id{ message.attempt() };
+    reply.attempt = call_id{message.attempt()};
     reply.result.outcome = static_cast<call_outcome>(message.outcome());
     reply.result.detail = decodeDetail(message);
     if (outcomeOf(reply.result.detail.reason) != reply.result.outcome) {
--- a/src/peer/peer_codec_func.h
+++ b/src/peer/peer_codec_func.h
@@ -7,7 +7,8 @@
 
 #include <peer.pb.h>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** A message from a peer doesn't hold what the protocol says. */
 class peer_format_error : public error
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -11,9 +11,11 @@
 #include <chrono>
 #include <mutex>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 
 /** Links the cancellation by the sender, which may come at any moment, with the running call. */
 class cancel_link
@@ -79,7 +81,7 @@
 
 grpc::Status badMessage(const peer_format_error &failure)
 {
-    return { grpc::StatusCode::INVALID_ARGUMENT, failure.what() };
+    return {grpc::StatusCode::INVALID_ARGUMENT, failure.what()};
 }
 
 class peer_service : public wire::Peer::CallbackService
@@ -131,7 +133,7 @@
     grpc::ServerUnaryReactor *Ask(grpc::CallbackServerContext *, const wire::Ask_Request *request, wire::Ask_Reply *reply) override
     {
         auto *reactor = new message_reactor;
-        m_hooks.ask(request->query(), clock_ms{ request->time_limit_ms() }, [reactor, reply](const std::string &json) {
+        m_hooks.ask(request->query(), clock_ms{request->time_limit_ms()}, [reactor, reply](const std::string &json) {
             reply->set_json(json);
             reactor->Finish(grpc::Status::OK);
         });
@@ -172,7 +174,7 @@
 
 peer_server::~peer_server()
 {
-    stop(clock_ms{ 0 });
+    stop(clock_ms{0});
 }
 
 void peer_server::stop(clock_ms grace)
--- a/src/peer/peer_server_base.h
+++ b/src/peer/peer_server_base.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** What the listener needs of the rest of the daemon; called on gRPC's threads, so each returns at once. */
 struct peer_server_hooks {
--- a/src/peer/peer_type.h
+++ b/src/peer/peer_type.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** A call as it is sent to a gate. */
 struct peer_call {
--- a/src/platform/call_budget.cpp
+++ b/src/platform/call_budget.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr double minute = 60'000; ///< Milliseconds.
 }
 
--- a/src/platform/call_budget_base.h
+++ b/src/platform/call_budget_base.h
@@ -6,7 +6,8 @@
 
 #include <cstdint>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** A token bucket that holds at most one minute's calls. Not thread-safe. */
 class call_budget
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -2,7 +2,8 @@
 
 #include "platform/platform_type.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 std::string_view toString(platform_failure failure)
 {
--- a/src/platform/platform_answer.cpp
+++ b/src/platform/platform_answer.cpp
@@ -6,15 +6,17 @@
 #include <boost/json/serialize.hpp>
 #include <boost/system/system_error.hpp>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusConflict = 409;
 constexpr unsigned statusGone = 410;
 
-template <typename Value>
+template<typename Value>
 platform_result<Value> makeFailure(platform_failure failure)
 {
     platform_result<Value> result;
@@ -61,7 +63,7 @@
 }
 
 /** Runs a reader of JSON; whatever it throws means that the answer isn't what the protocol says. */
-template <typename Value, typename Reader>
+template<typename Value, typename Reader>
 platform_result<Value> readGuarded(Reader reader)
 {
     try {
--- a/src/platform/platform_answer_func.h
+++ b/src/platform/platform_answer_func.h
@@ -6,7 +6,8 @@
 
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Reads the answer to a get; `bad_answer` if it holds another object. */
 platform_result<platform_object> readObjectAnswer(unsigned status, std::string_view body, std::string_view kind, std::string_view name);
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -12,13 +12,15 @@
 #include <charconv>
 #include <optional>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 constexpr std::uint32_t maxHeaderBytes = 16'384; ///< Of an answer.
 
 std::optional<tcp::endpoint> parseAddress(const std::string &address)
@@ -61,13 +63,16 @@
 
     void call(const platform_request &request, platform_answer_handler handler) override
     {
-        boost::asio::post(m_stream.get_executor(),
-                          [self = shared_from_this(), request, handler = std::move(handler)]() mutable { self->begin(request, std::move(handler)); });
+        boost::asio::post(m_stream.get_executor(), [self = shared_from_this(), request, handler = std::move(handler)]() mutable {
+            self->begin(request, std::move(handler));
+        });
     }
 
     void close() override
     {
-        boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->m_stream.close(); });
+        boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            self->m_stream.close();
+        });
     }
 
 private:
@@ -199,7 +204,7 @@
     m_stream.close();
     m_buffer.clear();
     const auto handler = std::exchange(m_handler, nullptr);
-    handler({ failure, 0, {}, false });
+    handler({failure, 0, {}, false});
 }
 } // namespace
 
--- a/src/platform/platform_connection_base.h
+++ b/src/platform/platform_connection_base.h
@@ -10,7 +10,8 @@
 #include <memory>
 #include <string>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** A request to the platform, as text. */
 struct platform_request {
--- a/src/platform/platform_http.cpp
+++ b/src/platform/platform_http.cpp
@@ -13,9 +13,11 @@
 #include <mutex>
 #include <set>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxObjectAnswer = 2 * maxObjectSize; ///< Bytes: the value, escaped, and what stands around it.
 constexpr std::size_t maxListAnswer = 64 * maxObjectSize; ///< Bytes.
 constexpr std::size_t maxWriteAnswer = 4'096; ///< Bytes.
@@ -65,7 +67,7 @@
     {
         boost::asio::post(m_context, [self = shared_from_this(), failure, handler = std::move(handler)] {
             if (!self->m_isStopped) {
-                handler({ failure, 0, {}, false });
+                handler({failure, 0, {}, false});
             }
         });
     }
@@ -118,7 +120,7 @@
             connection->close();
             return;
         }
-        m_idle.push_back({ purpose, connection });
+        m_idle.push_back({purpose, connection});
         if (m_idle.size() > maxIdleConnections) {
             m_idle.front().connection->close();
             m_idle.pop_front();
@@ -127,7 +129,7 @@
 
     boost::asio::io_context &m_context;
     platform_http_settings m_settings;
-    std::atomic<bool> m_isStopped{ false };
+    std::atomic<bool> m_isStopped{false};
     std::mutex m_mutex; ///< Guards what follows.
     call_budget m_budget;
     std::deque<idle_connection> m_idle; ///< The longest idle first.
@@ -158,19 +160,19 @@
 private:
     detail::platform_request makeRequest(std::string method, std::string target, std::size_t maxAnswerBytes) const
     {
-        return { std::move(method), std::move(target), {}, {}, m_pool->settings().timeout, maxAnswerBytes };
+        return {std::move(method), std::move(target), {}, {}, m_pool->settings().timeout, maxAnswerBytes};
     }
 
     std::shared_ptr<connection_pool> m_pool;
 };
 
 /** Turns a failed HTTP call into a typed result, and leaves an answered one to its reader. */
-template <typename Value, typename Reader>
+template<typename Value, typename Reader>
 detail::platform_answer_handler makeAnswerHandler(platform_handler<Value> handler, Reader reader)
 {
     return [handler = std::move(handler), reader = std::move(reader)](const detail::platform_answer &answer) {
         if (answer.failure != platform_failure::none) {
-            handler({ answer.failure, 0, {} });
+            handler({answer.failure, 0, {}});
         } else {
             handler(reader(answer));
         }
@@ -189,7 +191,9 @@
 void platform_http_client::put(
     std::string_view kind, std::string_view name, std::string_view value, std::uint64_t ifVersion, platform_handler<std::uint64_t> handler)
 {
-    const auto reader = [ifVersion](const detail::platform_answer &answer) { return readWriteAnswer(answer.status, answer.body, ifVersion); };
+    const auto reader = [ifVersion](const detail::platform_answer &answer) {
+        return readWriteAnswer(answer.status, answer.body, ifVersion);
+    };
     auto answerHandler = makeAnswerHandler<std::uint64_t>(std::move(handler), reader);
     if (value.size() > maxObjectSize) {
         m_pool->fail(platform_failure::too_large, std::move(answerHandler));
@@ -204,7 +208,9 @@
 void platform_http_client::list(std::string_view kind, platform_handler<platform_changes> handler)
 {
     const std::string target = "/objects/" + std::string(kind);
-    const auto reader = [kind = std::string(kind)](const detail::platform_answer &answer) { return readListAnswer(answer.status, answer.body, kind); };
+    const auto reader = [kind = std::string(kind)](const detail::platform_answer &answer) {
+        return readListAnswer(answer.status, answer.body, kind);
+    };
     m_pool->call("list " + target, makeRequest("GET", target, maxListAnswer), makeAnswerHandler<platform_changes>(std::move(handler), reader));
 }
 
@@ -213,8 +219,9 @@
     const std::string path = "/watch/" + std::string(kind);
     auto request = makeRequest("GET", path + "?cursor=" + std::to_string(cursor) + "&wait_ms=" + std::to_string(wait.count), maxListAnswer);
     request.timeout += wait;
-    const auto reader
-        = [kind = std::string(kind), cursor](const detail::platform_answer &answer) { return readWatchAnswer(answer.status, answer.body, kind, cursor); };
+    const auto reader = [kind = std::string(kind), cursor](const detail::platform_answer &answer) {
+        return readWatchAnswer(answer.status, answer.body, kind, cursor);
+    };
     m_pool->call("watch " + path, request, makeAnswerHandler<platform_changes>(std::move(handler), reader));
 }
 } // namespace
--- a/src/platform/platform_http_func.h
+++ b/src/platform/platform_http_func.h
@@ -9,11 +9,12 @@
 #include <memory>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 struct platform_http_settings {
     std::string address; ///< `IP:port`.
-    clock_ms timeout{ 1'000 }; ///< For each call; a watch's wait is added.
+    clock_ms timeout{1'000}; ///< For each call; a watch's wait is added.
     std::uint32_t callsPerMinute = 60; ///< Budget; a waiting watch counts as one call.
 };
 
--- a/src/platform/platform_type.h
+++ b/src/platform/platform_type.h
@@ -13,7 +13,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 constexpr std::size_t maxObjectSize = 1'000'000; ///< Bytes of an object's value.
 
@@ -49,14 +50,14 @@
 std::string_view toString(platform_failure failure);
 
 /** The end of one call to the platform. */
-template <typename Value>
+template<typename Value>
 struct platform_result {
     platform_failure failure = platform_failure::none;
     std::uint64_t currentVersion = 0; ///< For `conflict`.
     Value value{}; ///< Meaningful if there was no failure.
 };
 
-template <typename Value>
+template<typename Value>
 using platform_handler = std::function<void(platform_result<Value>)>;
 
 /**
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 std::string describeFaults(const std::vector<policy_fault> &faults)
 {
     std::string text = "policy refused:";
@@ -68,7 +70,7 @@
     if (!rank.isValid()) {
         return std::nullopt;
     }
-    return resolved_operation{ &*rule, rank, m_ranks.ranks[rank.value].isProtected };
+    return resolved_operation{&*rule, rank, m_ranks.ranks[rank.value].isProtected};
 }
 
 std::span<const rank_rule> policy_set::ranks() const
@@ -82,7 +84,7 @@
     if (found == m_ranks.ranks.end()) {
         return rank_id::invalid();
     }
-    return rank_id{ static_cast<std::uint8_t>(found - m_ranks.ranks.begin()) };
+    return rank_id{static_cast<std::uint8_t>(found - m_ranks.ranks.begin())};
 }
 
 const rank_table &policy_set::rankTable() const
--- a/src/policy/policy_base.h
+++ b/src/policy/policy_base.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** An operation's rule together with the rank that it resolves to. */
 struct resolved_operation {
--- a/src/policy/policy_check.cpp
+++ b/src/policy/policy_check.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 bool hasAtMostOnce(const service_policy &policy)
 {
     return std::ranges::any_of(policy.operations, &operation_rule::atMostOnce);
@@ -37,9 +39,9 @@
         const std::string at = path + "passes_through[" + std::to_string(index) + ']';
         const auto below = set.services().find(service);
         if (below == set.services().end()) {
-            faults.push_back({ at, "unknown service " + service, "a service that has a policy" });
+            faults.push_back({at, "unknown service " + service, "a service that has a policy"});
         } else if (repeatsAtMostOnce(rule, below->second)) {
-            faults.push_back({ at, "a retry would repeat an at-most-once operation of " + service, "retries 0, or at_most_once true" });
+            faults.push_back({at, "a retry would repeat an at-most-once operation of " + service, "retries 0, or at_most_once true"});
         }
     }
 }
@@ -50,7 +52,7 @@
         const operation_rule &rule = policy.operations[index];
         const std::string path = policy.service + ".operations[" + std::to_string(index) + "].";
         if (!set.rankOf(rule.rankName).isValid()) {
-            faults.push_back({ path + "rank", "unknown rank " + rule.rankName, listRanks(set) });
+            faults.push_back({path + "rank", "unknown rank " + rule.rankName, listRanks(set)});
         }
         checkPassesThrough(set, rule, path, faults);
     }
--- a/src/policy/policy_func.h
+++ b/src/policy/policy_func.h
@@ -8,7 +8,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /**
  * Parses the value of the `rank_table` object (docs/INTERFACE.md).
--- a/src/policy/policy_json.cpp
+++ b/src/policy/policy_json.cpp
@@ -9,9 +9,11 @@
 #include <limits>
 #include <set>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 using detail::policy_reader;
 using detail::presence;
 
@@ -26,7 +28,7 @@
 }
 
 /** Reads each element of a list by `readOne`, which gets a reader and returns an element with a `name`. */
-template <typename Element, typename Read>
+template<typename Element, typename Read>
 std::vector<Element> readList(policy_reader &parent, std::string_view key, std::size_t most, std::vector<policy_fault> &faults, Read readOne)
 {
     std::vector<Element> elements;
@@ -38,7 +40,7 @@
     for (std::size_t index = 0; index < source->size(); ++index) {
         const auto *object = (*source)[index].if_object();
         if (object == nullptr) {
-            faults.push_back({ std::string(key) + '[' + std::to_string(index) + ']', "wrong type", "an object" });
+            faults.push_back({std::string(key) + '[' + std::to_string(index) + ']', "wrong type", "an object"});
             continue;
         }
         policy_reader reader(*object, pathOf(key, index), faults);
@@ -63,8 +65,8 @@
 
 clock_ms readSpan(policy_reader &reader, std::string_view key, presence wanted, std::int64_t fallback)
 {
-    const std::uint64_t count = reader.whole(key, wanted, { 1, static_cast<std::uint64_t>(maxDeadline), static_cast<std::uint64_t>(fallback) });
-    return { static_cast<std::int64_t>(count) };
+    const std::uint64_t count = reader.whole(key, wanted, {1, static_cast<std::uint64_t>(maxDeadline), static_cast<std::uint64_t>(fallback)});
+    return {static_cast<std::int64_t>(count)};
 }
 
 operation_rule readOperation(policy_reader &reader)
@@ -77,7 +79,7 @@
     rule.deadline = readSpan(reader, "deadline_ms", presence::required, 1);
     rule.lateOk = reader.second("deadline_kind", strictKind, lateOkKind);
     rule.lateLimit = readSpan(reader, "late_limit_ms", presence::optional, defaultLateLimit);
-    rule.retries = static_cast<std::uint32_t>(reader.whole("retries", presence::optional, { 0, maxRetryAllowance, 0 }));
+    rule.retries = static_cast<std::uint32_t>(reader.whole("retries", presence::optional, {0, maxRetryAllowance, 0}));
     rule.atMostOnce = reader.flag("at_most_once");
     if (rule.lateOk && rule.lateLimit.count < rule.deadline.count) {
         reader.fault("late_limit_ms", "out of range", "at least deadline_ms, to " + std::to_string(maxDeadline));
@@ -91,7 +93,7 @@
     bool ordinarySeen = false;
     for (std::size_t index = 0; index < ranks.size(); ++index) {
         if (ranks[index].isProtected && ordinarySeen) {
-            faults.push_back({ pathOf("ranks", index) + "protected", "out of order", "protected ranks stand before all others" });
+            faults.push_back({pathOf("ranks", index) + "protected", "out of order", "protected ranks stand before all others"});
         }
         ordinarySeen = ordinarySeen || !ranks[index].isProtected;
     }
@@ -138,7 +140,7 @@
     std::vector<policy_fault> faults;
     policy_reader reader(document, "", faults);
     rank_table table;
-    table.generation = reader.whole("generation", presence::required, { 1, maxGeneration, 1 });
+    table.generation = reader.whole("generation", presence::required, {1, maxGeneration, 1});
     table.operationId = reader.operationId("operation_id");
     table.ranks = readList<rank_rule>(reader, "ranks", maxRanks, faults, readRank);
     checkProtectedFirst(table.ranks, faults);
@@ -153,7 +155,7 @@
     std::vector<policy_fault> faults;
     policy_reader reader(document, "", faults);
     service_policy policy;
-    policy.generation = reader.whole("generation", presence::required, { 1, maxGeneration, 1 });
+    policy.generation = reader.whole("generation", presence::required, {1, maxGeneration, 1});
     policy.operationId = reader.operationId("operation_id");
     policy.service = reader.name("service");
     policy.operations = readList<operation_rule>(reader, "operations", maxOperations, faults, readOperation);
@@ -169,7 +171,7 @@
     json["operation_id"] = table.operationId;
     boost::json::array &ranks = json["ranks"].emplace_array();
     for (const rank_rule &rank : table.ranks) {
-        ranks.push_back({ { "name", rank.name }, { "protected", rank.isProtected }, { "effort", formatNumber(rank.effort) } });
+        ranks.push_back({{"name", rank.name}, {"protected", rank.isProtected}, {"effort", formatNumber(rank.effort)}});
     }
     return boost::json::serialize(json);
 }
--- a/src/policy/policy_reader.cpp
+++ b/src/policy/policy_reader.cpp
@@ -7,9 +7,11 @@
 #include <algorithm>
 #include <set>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxOperationId = 64; ///< Characters.
 
 bool isNameCharacter(char character)
@@ -51,15 +53,15 @@
 boost::json::object parsePolicyDocument(std::string_view json)
 {
     if (json.size() > maxObjectSize) {
-        throw policy_error({ { "(document)", "too large", "at most " + std::to_string(maxObjectSize) + " bytes" } });
+        throw policy_error({{"(document)", "too large", "at most " + std::to_string(maxObjectSize) + " bytes"}});
     }
     boost::system::error_code failure;
     boost::json::value parsed = boost::json::parse(json, failure);
     if (failure) {
-        throw policy_error({ { "(document)", "not JSON: " + failure.message(), "a JSON object" } });
+        throw policy_error({{"(document)", "not JSON: " + failure.message(), "a JSON object"}});
     }
     if (!parsed.is_object()) {
-        throw policy_error({ { "(document)", "wrong type", "a JSON object" } });
+        throw policy_error({{"(document)", "wrong type", "a JSON object"}});
     }
     return std::move(parsed.as_object());
 }
@@ -239,7 +241,7 @@
 
 void policy_reader::fault(std::string_view key, std::string problem, std::string allowed)
 {
-    m_faults.push_back({ m_path + std::string(key), std::move(problem), std::move(allowed) });
+    m_faults.push_back({m_path + std::string(key), std::move(problem), std::move(allowed)});
 }
 
 const boost::json::value *policy_reader::find(std::string_view key, presence wanted, std::string_view allowed)
--- a/src/policy/policy_reader_base.h
+++ b/src/policy/policy_reader_base.h
@@ -11,7 +11,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 constexpr std::string_view nameAllowed = "text, [a-z0-9-]{1,63}"; ///< What a name may be, for faults.
 
--- a/src/policy/policy_type.h
+++ b/src/policy/policy_type.h
@@ -11,7 +11,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 constexpr std::string_view rankTableKind = "rank_table"; ///< Kind of the object that holds the ranks.
 constexpr std::string_view rankTableName = "default"; ///< Name of the only object of that kind.
@@ -42,7 +43,7 @@
     std::vector<std::string> passesThrough; ///< Services that a request of this operation calls, at any depth.
     clock_ms deadline; ///< Used where the caller states none.
     bool lateOk = false; ///< `deadline_kind` is `late-ok`.
-    clock_ms lateLimit{ defaultLateLimit }; ///< When even a late-ok call is given up.
+    clock_ms lateLimit{defaultLateLimit}; ///< When even a late-ok call is given up.
     std::uint32_t retries = 0; ///< Extra attempts for the whole root.
     bool atMostOnce = false;
 
--- a/src/request/call.cpp
+++ b/src/request/call.cpp
@@ -4,7 +4,8 @@
 
 #include <utility>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 call_result makeRefused(refusal_detail detail, std::uint32_t retriesUnspent)
 {
--- a/src/request/call_type.h
+++ b/src/request/call_type.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Greatest depth of a call tree; a deeper call is refused as `bad_request`. */
 constexpr std::uint8_t maxCallDepth = 16;
--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -6,9 +6,11 @@
 
 #include <array>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 struct reason_row {
     std::string_view name;
     call_outcome outcome;
@@ -17,15 +19,15 @@
 
 constexpr std::size_t reasonCount = static_cast<std::size_t>(outcome_reason::count);
 
-constexpr std::array<reason_row, reasonCount> reasonTable = { {
-    { "none", call_outcome::answered, 200 },          { "bad_request", call_outcome::not_run, 400 },     { "too_large", call_outcome::not_run, 413 },
-    { "no_policy", call_outcome::not_run, 404 },      { "no_upstream", call_outcome::not_run, 503 },     { "overloaded", call_outcome::not_run, 503 },
-    { "queue_timeout", call_outcome::not_run, 503 },  { "deadline_passed", call_outcome::not_run, 503 }, { "retries_exhausted", call_outcome::not_run, 429 },
-    { "shed", call_outcome::not_run, 503 },           { "draining", call_outcome::not_run, 503 },        { "cancelled", call_outcome::not_run, 503 },
-    { "parent_gone", call_outcome::not_run, 503 },    { "ticket_required", call_outcome::not_run, 400 }, { "ticket_invalid", call_outcome::not_run, 400 },
-    { "ticket_expired", call_outcome::not_run, 503 }, { "daemon_busy", call_outcome::not_run, 503 },     { "connection_lost", call_outcome::unknown, 504 },
-    { "answer_broken", call_outcome::unknown, 504 },  { "answer_timeout", call_outcome::unknown, 504 },  { "ticket_home_gone", call_outcome::unknown, 504 },
-} };
+constexpr std::array<reason_row, reasonCount> reasonTable = {{
+    {"none", call_outcome::answered, 200},          {"bad_request", call_outcome::not_run, 400},     {"too_large", call_outcome::not_run, 413},
+    {"no_policy", call_outcome::not_run, 404},      {"no_upstream", call_outcome::not_run, 503},     {"overloaded", call_outcome::not_run, 503},
+    {"queue_timeout", call_outcome::not_run, 503},  {"deadline_passed", call_outcome::not_run, 503}, {"retries_exhausted", call_outcome::not_run, 429},
+    {"shed", call_outcome::not_run, 503},           {"draining", call_outcome::not_run, 503},        {"cancelled", call_outcome::not_run, 503},
+    {"parent_gone", call_outcome::not_run, 503},    {"ticket_required", call_outcome::not_run, 400}, {"ticket_invalid", call_outcome::not_run, 400},
+    {"ticket_expired", call_outcome::not_run, 503}, {"daemon_busy", call_outcome::not_run, 503},     {"connection_lost", call_outcome::unknown, 504},
+    {"answer_broken", call_outcome::unknown, 504},  {"answer_timeout", call_outcome::unknown, 504},  {"ticket_home_gone", call_outcome::unknown, 504},
+}};
 
 const reason_row &rowOf(outcome_reason reason)
 {
--- a/src/request/outcome_type.h
+++ b/src/request/outcome_type.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** The three ways for a call to end. */
 enum class call_outcome : std::uint8_t {
--- a/src/retry/caller_budget.cpp
+++ b/src/retry/caller_budget.cpp
@@ -10,20 +10,22 @@
 #include <mutex>
 #include <unordered_map>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t shardCount = 16; ///< Locks.
 constexpr std::size_t maxCallers = 1'024; ///< Of a shard; the one that was quiet longest is forgotten first.
 constexpr std::size_t maxRequests = 4'096; ///< Unanswered requests of a shard; the oldest is forgotten first.
-constexpr clock_ms unansweredLifetime{ 10'000 }; ///< Time in which the same request counts as a repeat.
+constexpr clock_ms unansweredLifetime{10'000}; ///< Time in which the same request counts as a repeat.
 constexpr std::uint32_t repeatCost = 100; ///< Credit that one repeat costs.
 constexpr std::uint32_t firstAttemptCredit = 10; ///< Credit that one first attempt earns: 10 repeats in 100 first attempts.
 constexpr std::uint32_t initialCredit = 3 * repeatCost; ///< Of a caller not seen lately.
 constexpr std::uint32_t maxCredit = 20 * repeatCost; ///< What a caller can save up.
 
 /** A bounded map that forgets the entry which was touched longest ago. */
-template <typename Value>
+template<typename Value>
 class bounded_map
 {
 public:
@@ -65,8 +67,8 @@
 
 struct budget_shard {
     std::mutex mutex;
-    bounded_map<std::uint32_t> credits{ maxCallers }; ///< By caller.
-    bounded_map<clock_ms> unanswered{ maxRequests }; ///< When it was last noted, by caller and request.
+    bounded_map<std::uint32_t> credits{maxCallers}; ///< By caller.
+    bounded_map<clock_ms> unanswered{maxRequests}; ///< When it was last noted, by caller and request.
 };
 
 bool isRepeat(budget_shard &shard, std::uint64_t request, clock_ms now)
--- a/src/retry/caller_budget_base.h
+++ b/src/retry/caller_budget_base.h
@@ -8,7 +8,8 @@
 #include <memory>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /**
  * Recognises repeats of a refused or failed request from one caller (address, service, operation, method, target and body hash)
--- a/src/retry/retry_ledger.cpp
+++ b/src/retry/retry_ledger.cpp
@@ -11,9 +11,11 @@
 #include <unordered_map>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t shardCount = 64; ///< Locks; two calls share one with a chance of 1 in 64.
 constexpr std::size_t maxChildKeys = 256; ///< Distinct children remembered for one parent; any further child counts as a repeat.
 
@@ -33,7 +35,7 @@
 
 void checkBound(const held_call &held)
 {
-    const std::uint64_t accounted = std::uint64_t{ held.left } + held.lent + held.spent;
+    const std::uint64_t accounted = std::uint64_t{held.left} + held.lent + held.spent;
     checkInvariant(accounted == held.brought, invariant::retry_bound, "extra attempts of a call don't add up to its allowance");
 }
 
@@ -94,10 +96,10 @@
 child_key makeChildKey(std::string_view service, std::string_view operation, std::string_view method, std::string_view target, std::string_view body)
 {
     std::uint64_t hash = 0;
-    for (const std::string_view part : { service, operation, method, target, body }) {
+    for (const std::string_view part : {service, operation, method, target, body}) {
         hash = hashBytes(part, hashNumber(part.size(), hash));
     }
-    return { hash };
+    return {hash};
 }
 
 retry_ledger::retry_ledger()
--- a/src/retry/retry_ledger_base.h
+++ b/src/retry/retry_ledger_base.h
@@ -9,7 +9,8 @@
 #include <memory>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Recognises a backend server's own retry: the same call again under the same parent. */
 struct child_key {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -11,9 +11,11 @@
 #include <mutex>
 #include <utility>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 using detail::routed_upstream;
 using detail::routing_view;
 using detail::service_view;
@@ -22,7 +24,7 @@
 std::vector<const routed_upstream *> subsetOf(const service_view &service)
 {
     std::vector<const routed_upstream *> subset;
-    for (const std::vector<std::uint32_t> *indices : { &service.near, &service.far }) {
+    for (const std::vector<std::uint32_t> *indices : {&service.near, &service.far}) {
         for (const std::uint32_t index : *indices) {
             subset.push_back(&service.all[index]);
         }
@@ -32,7 +34,9 @@
 
 std::size_t countEjected(const std::vector<const routed_upstream *> &subset)
 {
-    return static_cast<std::size_t>(std::ranges::count_if(subset, [](const routed_upstream *each) { return each->counters->health.isEjected(); }));
+    return static_cast<std::size_t>(std::ranges::count_if(subset, [](const routed_upstream *each) {
+        return each->counters->health.isEjected();
+    }));
 }
 
 /** @return How many of a subset may be ejected; never all. */
@@ -49,7 +53,9 @@
 
 bool isIn(const std::vector<const routed_upstream *> &subset, const routed_upstream &subject)
 {
-    return std::ranges::any_of(subset, [&](const routed_upstream *each) { return each->counters == subject.counters; });
+    return std::ranges::any_of(subset, [&](const routed_upstream *each) {
+        return each->counters == subject.counters;
+    });
 }
 
 /** Ends the ejections of upstreams that this daemon doesn't route to any more; they count for no bound. */
@@ -160,7 +166,7 @@
     if (known == nullptr) {
         return std::nullopt;
     }
-    const routed_upstream *chosen = detail::chooseUpstream(*known, { excluded, now, m_state->settings.slowStart, m_state->random });
+    const routed_upstream *chosen = detail::chooseUpstream(*known, {excluded, now, m_state->settings.slowStart, m_state->random});
     if (chosen == nullptr) {
         return std::nullopt;
     }
@@ -204,7 +210,7 @@
     for (const auto &[name, service] : view->services) {
         for (const routed_upstream &each : service.all) {
             const double weight = detail::slowStartWeight(each.subject, m_state->settings.slowStart, now);
-            all.push_back({ each.subject, each.counters->load.inFlight(), each.counters->health.isEjected(), weight });
+            all.push_back({each.subject, each.counters->load.inFlight(), each.counters->health.isEjected(), weight});
         }
     }
     return all;
--- a/src/routing/router_base.h
+++ b/src/routing/router_base.h
@@ -14,7 +14,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** One upstream of a service, as the view of the members has it. */
 struct upstream {
@@ -51,7 +52,7 @@
     std::string dataCenter; ///< Of this daemon; its upstreams are preferred.
     std::string host; ///< Of this daemon; decides its subsets.
     std::uint32_t subsetSize = 16; ///< Upstreams of one service that this daemon connects to.
-    clock_ms slowStart{ 5'000 }; ///< Time in which a cold upstream's weight rises to 1.
+    clock_ms slowStart{5'000}; ///< Time in which a cold upstream's weight rises to 1.
     double maxEjectedPart = 0.34; ///< Of a service's upstreams.
 };
 
--- a/src/routing/routing_view.cpp
+++ b/src/routing/routing_view.cpp
@@ -6,9 +6,11 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 /** Part of a subset that the own data centre fills if it can; the rest is for spill-over. */
 constexpr double nearPart = 0.75;
 
@@ -24,7 +26,9 @@
     if (chosen.size() <= count) {
         return;
     }
-    std::ranges::sort(chosen, std::greater<>{}, [&](std::uint32_t index) { return rendezvousWeight(settings, service.all[index].subject); });
+    std::ranges::sort(chosen, std::greater<>{}, [&](std::uint32_t index) {
+        return rendezvousWeight(settings, service.all[index].subject);
+    });
     service.others.insert(service.others.end(), chosen.begin() + static_cast<std::ptrdiff_t>(count), chosen.end());
     chosen.resize(count);
 }
@@ -79,8 +83,9 @@
     if (known == nullptr) {
         return nullptr;
     }
-    const auto found
-        = std::ranges::lower_bound(known->all, host, std::less<>{}, [](const routed_upstream &candidate) { return std::string_view(candidate.subject.host); });
+    const auto found = std::ranges::lower_bound(known->all, host, std::less<>{}, [](const routed_upstream &candidate) {
+        return std::string_view(candidate.subject.host);
+    });
     return found != known->all.end() && found->subject.host == host ? &*found : nullptr;
 }
 
@@ -88,7 +93,7 @@
 {
     auto view = std::make_shared<routing_view>();
     for (const upstream &subject : upstreams) {
-        view->services[subject.service].all.push_back({ subject, countersFor(subject, previous) });
+        view->services[subject.service].all.push_back({subject, countersFor(subject, previous)});
     }
     for (auto &[name, service] : view->services) {
         std::ranges::stable_sort(service.all, byHost);
--- a/src/routing/routing_view_type.h
+++ b/src/routing/routing_view_type.h
@@ -14,7 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** What changes with each call; shared by successive tables. */
 struct upstream_counters {
--- a/src/routing/upstream_choice.cpp
+++ b/src/routing/upstream_choice.cpp
@@ -6,9 +6,11 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr double slowStartFloor = 0.1; ///< Weight of an upstream that has just started.
 constexpr std::size_t usualCandidates = 32; ///< Held without allocation.
 
@@ -53,7 +55,7 @@
         }
         const load_estimate load = subject.counters->load.estimate(subject.subject.slots, request.now);
         if (filter != candidate_filter::ready || isReady(subject, load, request)) {
-            candidates.push_back({ &subject, load.perSlot });
+            candidates.push_back({&subject, load.perSlot});
         }
     }
 }
@@ -84,7 +86,7 @@
     if (!request.excluded.empty()) {
         return nullptr;
     }
-    for (const std::vector<std::uint32_t> *indices : { &service.near, &service.far }) {
+    for (const std::vector<std::uint32_t> *indices : {&service.near, &service.far}) {
         for (const std::uint32_t index : *indices) {
             if (service.all[index].counters->health.claimProbe(request.now)) {
                 return &service.all[index];
@@ -111,8 +113,8 @@
         return probe;
     }
     candidate_list candidates;
-    for (const candidate_filter filter : { candidate_filter::ready, candidate_filter::healthy, candidate_filter::any }) {
-        for (const std::vector<std::uint32_t> *indices : { &service.near, &service.far, &service.others }) {
+    for (const candidate_filter filter : {candidate_filter::ready, candidate_filter::healthy, candidate_filter::any}) {
+        for (const std::vector<std::uint32_t> *indices : {&service.near, &service.far, &service.others}) {
             if (indices == &service.others && filter == candidate_filter::ready) {
                 continue;
             }
--- a/src/routing/upstream_choice_func.h
+++ b/src/routing/upstream_choice_func.h
@@ -7,7 +7,8 @@
 #include <span>
 #include <string>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 struct choice_request {
     std::span<const std::string> excluded; ///< Hosts already tried.
--- a/src/routing/upstream_health.cpp
+++ b/src/routing/upstream_health.cpp
@@ -4,17 +4,19 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 constexpr std::uint32_t failuresInARow = 5; ///< Make an outlier.
 constexpr std::uint32_t windowSize = 20; ///< Calls over which the failure rate is taken.
 constexpr std::uint32_t windowFailureLimit = 10; ///< Failures in a window that make an outlier.
-constexpr clock_ms firstEjection{ 1'000 };
-constexpr clock_ms longestEjection{ 32'000 };
+constexpr clock_ms firstEjection{1'000};
+constexpr clock_ms longestEjection{32'000};
 constexpr std::uint32_t mostDoublings = 5; ///< From firstEjection to longestEjection.
-constexpr clock_ms probeInterval{ 500 }; ///< Between two probes of one upstream.
-constexpr clock_ms forgivenAfter{ 60'000 }; ///< Time without ejection after which the next one is short again.
+constexpr clock_ms probeInterval{500}; ///< Between two probes of one upstream.
+constexpr clock_ms forgivenAfter{60'000}; ///< Time without ejection after which the next one is short again.
 } // namespace
 
 bool upstream_health::recordEnd(bool failed)
@@ -40,7 +42,7 @@
 
 void upstream_health::eject(clock_ms now)
 {
-    const bool isForgiven = !isEjected() && now - clock_ms{ m_readmittedAt.load() } >= forgivenAfter;
+    const bool isForgiven = !isEjected() && now - clock_ms{m_readmittedAt.load()} >= forgivenAfter;
     const std::uint32_t earlier = isForgiven ? 0 : m_ejections.load();
     const std::int64_t time = firstEjection.count << std::min(earlier, mostDoublings);
     m_ejections.store(earlier + 1);
@@ -85,7 +87,7 @@
 
 clock_ms upstream_health::ejectedUntil() const
 {
-    return { m_ejectedUntil.load() };
+    return {m_ejectedUntil.load()};
 }
 
 } // namespace cicadamux::detail
--- a/src/routing/upstream_health_base.h
+++ b/src/routing/upstream_health_base.h
@@ -7,7 +7,8 @@
 #include <atomic>
 #include <cstdint>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /**
  * Counts failures, and keeps the state of an ejection: after its time it is probed by single calls,
@@ -40,14 +41,14 @@
     clock_ms ejectedUntil() const;
 
 private:
-    std::atomic<std::uint32_t> m_consecutiveFailures{ 0 };
-    std::atomic<std::uint32_t> m_windowCalls{ 0 };
-    std::atomic<std::uint32_t> m_windowFailures{ 0 };
-    std::atomic<bool> m_isEjected{ false };
-    std::atomic<std::int64_t> m_ejectedUntil{ 0 };
-    std::atomic<std::int64_t> m_readmittedAt{ 0 };
-    std::atomic<std::uint32_t> m_ejections{ 0 }; ///< In a row, each soon after the last.
-    std::atomic<std::int64_t> m_probedAt{ INT64_MIN / 2 };
+    std::atomic<std::uint32_t> m_consecutiveFailures{0};
+    std::atomic<std::uint32_t> m_windowCalls{0};
+    std::atomic<std::uint32_t> m_windowFailures{0};
+    std::atomic<bool> m_isEjected{false};
+    std::atomic<std::int64_t> m_ejectedUntil{0};
+    std::atomic<std::int64_t> m_readmittedAt{0};
+    std::atomic<std::uint32_t> m_ejections{0}; ///< In a row, each soon after the last.
+    std::atomic<std::int64_t> m_probedAt{INT64_MIN / 2};
 };
 
 } // namespace cicadamux::detail
--- a/src/routing/upstream_load.cpp
+++ b/src/routing/upstream_load.cpp
@@ -4,7 +4,8 @@
 
 #include <algorithm>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 void upstream_load::addCall()
 {
@@ -39,16 +40,16 @@
 load_estimate upstream_load::estimate(std::uint32_t slots, clock_ms now) const
 {
     const std::uint32_t own = inFlight();
-    const clock_ms age = now - clock_ms{ m_reportedAt.load(std::memory_order_relaxed) };
+    const clock_ms age = now - clock_ms{m_reportedAt.load(std::memory_order_relaxed)};
     const std::uint32_t limit = m_limit.load(std::memory_order_relaxed);
     if (age > loadReportLifetime || limit == 0) {
-        return { (own + 1.0) / std::max(slots, 1U), false };
+        return {(own + 1.0) / std::max(slots, 1U), false};
     }
     const std::uint32_t waiting = m_waiting.load(std::memory_order_relaxed);
-    const std::int64_t sinceReport = std::int64_t{ own } - m_inFlightAtReport.load(std::memory_order_relaxed);
-    const std::int64_t reported = std::int64_t{ m_inUse.load(std::memory_order_relaxed) } + waiting;
+    const std::int64_t sinceReport = std::int64_t{own} - m_inFlightAtReport.load(std::memory_order_relaxed);
+    const std::int64_t reported = std::int64_t{m_inUse.load(std::memory_order_relaxed)} + waiting;
     const std::int64_t busy = std::max<std::int64_t>(reported + sinceReport, own);
-    return { (static_cast<double>(busy) + 1.0) / limit, waiting > 0 && busy >= limit };
+    return {(static_cast<double>(busy) + 1.0) / limit, waiting > 0 && busy >= limit};
 }
 
 } // namespace cicadamux::detail
--- a/src/routing/upstream_load_base.h
+++ b/src/routing/upstream_load_base.h
@@ -7,10 +7,11 @@
 #include <atomic>
 #include <cstdint>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** Age at which a piggybacked report stops counting. */
-constexpr clock_ms loadReportLifetime{ 250 };
+constexpr clock_ms loadReportLifetime{250};
 
 /** Load at a moment. */
 struct load_estimate {
@@ -38,12 +39,12 @@
     load_estimate estimate(std::uint32_t slots, clock_ms now) const;
 
 private:
-    std::atomic<std::uint32_t> m_inFlight{ 0 };
-    std::atomic<std::int64_t> m_reportedAt{ INT64_MIN / 2 };
-    std::atomic<std::uint32_t> m_inUse{ 0 };
-    std::atomic<std::uint32_t> m_waiting{ 0 };
-    std::atomic<std::uint32_t> m_limit{ 0 };
-    std::atomic<std::uint32_t> m_inFlightAtReport{ 0 };
+    std::atomic<std::uint32_t> m_inFlight{0};
+    std::atomic<std::int64_t> m_reportedAt{INT64_MIN / 2};
+    std::atomic<std::uint32_t> m_inUse{0};
+    std::atomic<std::uint32_t> m_waiting{0};
+    std::atomic<std::uint32_t> m_limit{0};
+    std::atomic<std::uint32_t> m_inFlightAtReport{0};
 };
 
 } // namespace cicadamux::detail
--- a/src/settings/settings_explain.cpp
+++ b/src/settings/settings_explain.cpp
@@ -4,7 +4,8 @@
 
 #include "settings/settings_table.h"
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 std::string explainSettings()
 {
--- a/src/settings/settings_func.h
+++ b/src/settings/settings_func.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /**
  * Parses a settings document.
--- a/src/settings/settings_read.cpp
+++ b/src/settings/settings_read.cpp
@@ -14,9 +14,11 @@
 #include <optional>
 #include <sstream>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 using detail::setting_place;
 using detail::setting_row;
 using detail::text_form;
@@ -87,7 +89,7 @@
 
 std::optional<log_level> parseLevel(std::string_view text)
 {
-    for (const log_level level : { log_level::debug, log_level::info, log_level::warning, log_level::error }) {
+    for (const log_level level : {log_level::debug, log_level::info, log_level::warning, log_level::error}) {
         if (detail::levelName(level) == text) {
             return level;
         }
@@ -154,13 +156,13 @@
         return readWhole(place(result).count);
     }
 
-    template <typename Value>
+    template<typename Value>
     const char *operator()(setting_place<Value> place) const
     {
         return readWhole(place(result));
     }
 
-    template <typename Number>
+    template<typename Number>
     const char *readWhole(Number &number) const
     {
         if (!value.is_int64() && !value.is_uint64()) {
@@ -212,7 +214,7 @@
     void readValue(const setting_row &row, const boost::json::value &value)
     {
         m_seen.emplace_back(row.path);
-        const char *problem = std::visit(value_reader{ row, value, m_result }, row.target);
+        const char *problem = std::visit(value_reader{row, value, m_result}, row.target);
         if (problem != nullptr) {
             fault(row.path, problem, detail::describeAllowed(row));
         }
@@ -243,7 +245,9 @@
 
     static bool isSection(std::string_view prefix)
     {
-        return std::ranges::any_of(detail::settingRows(), [prefix](const setting_row &row) { return row.path.starts_with(prefix); });
+        return std::ranges::any_of(detail::settingRows(), [prefix](const setting_row &row) {
+            return row.path.starts_with(prefix);
+        });
     }
 
     /** Lists the keys that may stand under a prefix. */
@@ -268,7 +272,7 @@
 
     void fault(std::string_view path, std::string problem, std::string allowed)
     {
-        m_faults.push_back({ std::string(path), std::move(problem), std::move(allowed) });
+        m_faults.push_back({std::string(path), std::move(problem), std::move(allowed)});
     }
 
     daemon_settings m_result;
@@ -293,10 +297,10 @@
     boost::system::error_code failure;
     const boost::json::value parsed = boost::json::parse(json, failure);
     if (failure) {
-        throw settings_error({ { "(document)", "not JSON: " + failure.message(), "a JSON object" } });
+        throw settings_error({{"(document)", "not JSON: " + failure.message(), "a JSON object"}});
     }
     if (!parsed.is_object()) {
-        throw settings_error({ { "(document)", wrongType, "a JSON object" } });
+        throw settings_error({{"(document)", wrongType, "a JSON object"}});
     }
     return settings_reader().read(parsed.get_object());
 }
@@ -307,7 +311,7 @@
     const auto size = std::filesystem::file_size(file, failure);
     std::ifstream stream(file, std::ios::binary);
     if (failure || !stream || size > maxFileSize) {
-        throw settings_error({ { file, "can't be read", "a file of at most " + std::to_string(maxFileSize) + " bytes" } });
+        throw settings_error({{file, "can't be read", "a file of at most " + std::to_string(maxFileSize) + " bytes"}});
     }
     std::ostringstream text;
     text << stream.rdbuf();
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -6,24 +6,26 @@
 
 #include <array>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
+namespace
+{
 using settings = daemon_settings;
 
-template <auto Member>
+template<auto Member>
 auto &top(settings &subject)
 {
     return subject.*Member;
 }
 
-template <auto Member>
+template<auto Member>
 auto &inGate(settings &subject)
 {
     return subject.gate.*Member;
 }
 
-template <auto Member>
+template<auto Member>
 auto &inMembership(settings &subject)
 {
     return subject.membership.*Member;
@@ -106,7 +108,7 @@
         return boost::json::value(levelName(place(defaults)));
     }
 
-    template <typename Value>
+    template<typename Value>
     boost::json::value operator()(setting_place<Value> place) const
     {
         return place(defaults);
@@ -160,7 +162,7 @@
         return "text, debug, info, warning or error";
     }
 
-    template <typename Value>
+    template<typename Value>
     std::string operator()(setting_place<Value> /*place*/) const
     {
         return describeWhole(row);
@@ -175,7 +177,7 @@
 
 std::string describeAllowed(const setting_row &row)
 {
-    return std::visit(allowed_writer{ row }, row.target);
+    return std::visit(allowed_writer{row}, row.target);
 }
 
 std::string describeDefault(const setting_row &row)
@@ -184,12 +186,12 @@
         return "required";
     }
     daemon_settings defaults;
-    return boost::json::serialize(std::visit(default_writer{ defaults }, row.target));
+    return boost::json::serialize(std::visit(default_writer{defaults}, row.target));
 }
 
 std::string_view levelName(log_level level)
 {
-    constexpr std::array<std::string_view, 4> names = { "debug", "info", "warning", "error" };
+    constexpr std::array<std::string_view, 4> names = {"debug", "info", "warning", "error"};
     return names.at(static_cast<std::size_t>(level));
 }
 
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -11,7 +11,8 @@
 #include <variant>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** What a text may hold. */
 enum class text_form : std::uint8_t {
@@ -27,7 +28,7 @@
 constexpr std::size_t maxListLength = 1'024; ///< Elements of a list.
 
 /** Returns the place of a setting in the settings. */
-template <typename Value>
+template<typename Value>
 using setting_place = Value &(*)(daemon_settings &);
 
 using setting_target = std::variant<setting_place<std::string>,
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -13,7 +13,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Everything that a daemon learns at its start; settings_table.cpp states type, unit, range and default of each. */
 struct daemon_settings {
@@ -28,8 +29,8 @@
     std::vector<std::string> seeds; ///< Peer addresses of some other daemons.
     std::string fleetKey; ///< Secret that all daemons share; keys the MAC of tickets.
     std::string platformAddress; ///< `IP:port`; empty: no platform, by policies from peers only.
-    clock_ms platformTimeout{ 1'000 }; ///< For a call to the platform, a watch's wait not counted.
-    clock_ms platformWatch{ 10'000 }; ///< Wait of one watch.
+    clock_ms platformTimeout{1'000}; ///< For a call to the platform, a watch's wait not counted.
+    clock_ms platformWatch{10'000}; ///< Wait of one watch.
     std::uint32_t platformCallsPerMinute = 60; ///< Budget of this daemon for calls to the platform.
 
     std::uint32_t threads = 2; ///< Worker threads.
@@ -37,14 +38,14 @@
     std::uint32_t maxCalls = 8'192; ///< Calls held at a time.
     std::size_t maxHeaderBytes = 16'384; ///< Header of one request or answer.
     std::size_t maxBodyBytes = 1'048'576; ///< Body of one request or answer.
-    clock_ms idleTimeout{ 60'000 }; ///< Until an idle connection is closed.
-    clock_ms requestTimeout{ 10'000 }; ///< For a whole request to arrive after its first byte.
+    clock_ms idleTimeout{60'000}; ///< Until an idle connection is closed.
+    clock_ms requestTimeout{10'000}; ///< For a whole request to arrive after its first byte.
 
-    clock_ms announceTimeout{ 3'000 }; ///< Silence that ends a backend server's announcement.
-    clock_ms stopTimeout{ 30'000 }; ///< Longest wait for calls in flight at a planned stop.
+    clock_ms announceTimeout{3'000}; ///< Silence that ends a backend server's announcement.
+    clock_ms stopTimeout{30'000}; ///< Longest wait for calls in flight at a planned stop.
     std::uint32_t attemptsElsewhere = 2; ///< Further upstreams tried after a sure `not run`.
     std::uint32_t subsetSize = 16; ///< Upstreams of one service that this daemon connects to.
-    clock_ms slowStart{ 5'000 }; ///< Time in which a cold upstream gets its full share.
+    clock_ms slowStart{5'000}; ///< Time in which a cold upstream gets its full share.
     std::size_t ticketCapacity = 20'000; ///< Tickets remembered.
     std::size_t refusalRecords = 4'096; ///< Refusals remembered for operators.
 
--- a/src/ticket/ticket.cpp
+++ b/src/ticket/ticket.cpp
@@ -10,9 +10,11 @@
 #include <cstring>
 #include <optional>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::uint8_t layoutVersion = 1;
 constexpr std::size_t macBytes = 32; ///< HMAC-SHA256.
 constexpr std::size_t numberBytes = 8;
@@ -86,7 +88,7 @@
     if (HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), data, payload.size(), mac.data(), &length) == nullptr) {
         throw ticket_error(outcome_reason::ticket_invalid, "the MAC can't be computed");
     }
-    return { reinterpret_cast<const char *>(mac.data()), length };
+    return {reinterpret_cast<const char *>(mac.data()), length};
 }
 
 [[noreturn]] void throwMalformed()
--- a/src/ticket/ticket_func.h
+++ b/src/ticket/ticket_func.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** Encodes a ticket with an HMAC-SHA256 under the fleet's key; URL-safe text of at most 512 characters. */
 std::string encodeTicket(const ticket &subject, std::string_view key);
--- a/src/ticket/ticket_home.cpp
+++ b/src/ticket/ticket_home.cpp
@@ -8,11 +8,13 @@
 #include <algorithm>
 #include <utility>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxWaiters = 16; ///< Repeats of one ticket that wait at a time.
-constexpr clock_ms closableAhead{ 2 * ticketLifetime }; ///< How far ahead an expiry may lie that closes others when the memory is full.
+constexpr clock_ms closableAhead{2 * ticketLifetime}; ///< How far ahead an expiry may lie that closes others when the memory is full.
 
 using detail::ticket_key;
 using detail::ticket_phase;
@@ -22,7 +24,7 @@
 
 ticket_begin makeRefusal(outcome_reason reason)
 {
-    return { ticket_verdict::refuse, reason, nullptr };
+    return {ticket_verdict::refuse, reason, nullptr};
 }
 
 void tellWaiters(const std::vector<ticket_waiter> &waiters, const shared_result &result)
@@ -95,7 +97,7 @@
             const bool isClosed = closeForWantOfRoom(shard, subject, wallNow);
             return makeRefusal(isClosed ? outcome_reason::daemon_busy : outcome_reason::ticket_home_gone);
         }
-        return { ticket_verdict::run, outcome_reason::none, nullptr };
+        return {ticket_verdict::run, outcome_reason::none, nullptr};
     }
 
     static ticket_begin beginIdle(ticket_record &record, clock_ms wallNow)
@@ -105,7 +107,7 @@
             return makeRefusal(outcome_reason::ticket_expired);
         }
         record.phase = ticket_phase::running;
-        return { ticket_verdict::run, outcome_reason::none, nullptr };
+        return {ticket_verdict::run, outcome_reason::none, nullptr};
     }
 
     static ticket_begin beginRunning(ticket_record &record, ticket_waiter waiter)
@@ -114,7 +116,7 @@
             return makeRefusal(outcome_reason::answer_timeout);
         }
         record.waiters.push_back(std::move(waiter));
-        return { ticket_verdict::wait, outcome_reason::none, nullptr };
+        return {ticket_verdict::wait, outcome_reason::none, nullptr};
     }
 
     /** Takes a ticket back from a call that wasn't sent. @return The repeats that wait. */
@@ -187,7 +189,7 @@
     }
     ticket_record &record = found->second;
     if (record.phase == ticket_phase::ended) {
-        return { ticket_verdict::repeat, outcome_reason::none, record.result };
+        return {ticket_verdict::repeat, outcome_reason::none, record.result};
     }
     if (record.phase == ticket_phase::running) {
         return state::beginRunning(record, std::move(waiter));
--- a/src/ticket/ticket_home_base.h
+++ b/src/ticket/ticket_home_base.h
@@ -8,7 +8,8 @@
 #include <functional>
 #include <memory>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 /** What to do with a call that brings a ticket. */
 enum class ticket_verdict : std::uint8_t {
--- a/src/ticket/ticket_memory.cpp
+++ b/src/ticket/ticket_memory.cpp
@@ -5,10 +5,12 @@
 #include <algorithm>
 #include <utility>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
-namespace {
-constexpr clock_ms keptAfterExpiry{ 2 * ticketLifetime }; ///< How long outcomes outlive their ticket.
+namespace
+{
+constexpr clock_ms keptAfterExpiry{2 * ticketLifetime}; ///< How long outcomes outlive their ticket.
 constexpr std::size_t maxResultBytes = 65'536; ///< Largest answer that is kept for repeats.
 constexpr std::size_t maxKeptBytes = 33'554'432; ///< Of all kept answers together.
 
@@ -58,7 +60,7 @@
 {
     const std::uint64_t service = hashBytes(subject.service, subject.service.size());
     const std::uint64_t operation = hashBytes(subject.operation, service);
-    return { subject.nonce, hashNumber(static_cast<std::uint64_t>(subject.expiry.count), operation) };
+    return {subject.nonce, hashNumber(static_cast<std::uint64_t>(subject.expiry.count), operation)};
 }
 
 ticket_memory::ticket_memory(std::size_t capacity)
@@ -79,7 +81,7 @@
     }
     ticket_record &record = shard.records[key];
     record.expiry = expiry;
-    shard.dues.push({ expiry, key });
+    shard.dues.push({expiry, key});
     return &record;
 }
 
@@ -113,7 +115,7 @@
         shard.dues.pop();
         const auto found = shard.records.find(key);
         if (const auto later = stillNeededUntil(shard, found->second, wallNow)) {
-            shard.dues.push({ *later, key });
+            shard.dues.push({*later, key});
             continue;
         }
         m_keptBytes.fetch_sub(found->second.keptBytes);
--- a/src/ticket/ticket_memory_base.h
+++ b/src/ticket/ticket_memory_base.h
@@ -9,7 +9,8 @@
 #include <optional>
 #include <string>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** @return The identity of a ticket at its home. */
 ticket_key keyOf(const ticket &subject);
@@ -44,8 +45,8 @@
     bool reserveBytes(std::size_t bytes);
 
     std::size_t m_capacity;
-    std::atomic<std::size_t> m_recordCount{ 0 };
-    std::atomic<std::size_t> m_keptBytes{ 0 };
+    std::atomic<std::size_t> m_recordCount{0};
+    std::atomic<std::size_t> m_keptBytes{0};
     std::array<ticket_shard, shardCount> m_shards;
 };
 
--- a/src/ticket/ticket_record_type.h
+++ b/src/ticket/ticket_record_type.h
@@ -15,7 +15,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace cicadamux::detail {
+namespace cicadamux::detail
+{
 
 /** Identity of a ticket at its home: the nonce, and a hash over all other fields. */
 struct ticket_key {
@@ -70,8 +71,8 @@
     std::mutex mutex;
     std::unordered_map<ticket_key, ticket_record, ticket_key_hash> records;
     std::priority_queue<record_due, std::vector<record_due>, std::greater<>> dues; ///< One for each record.
-    clock_ms forgottenUpTo{ INT64_MIN }; ///< Latest expiry of a forgotten record.
-    clock_ms closedUpTo{ INT64_MIN }; ///< Latest expiry of a ticket that was refused without a record, or forgotten without having run.
+    clock_ms forgottenUpTo{INT64_MIN}; ///< Latest expiry of a forgotten record.
+    clock_ms closedUpTo{INT64_MIN}; ///< Latest expiry of a ticket that was refused without a record, or forgotten without having run.
 };
 
 } // namespace cicadamux::detail
--- a/src/ticket/ticket_type.h
+++ b/src/ticket/ticket_type.h
@@ -10,7 +10,8 @@
 #include <cstdint>
 #include <string>
 
-namespace cicadamux {
+namespace cicadamux
+{
 
 constexpr std::int64_t ticketLifetime = 30'000; ///< Milliseconds from issue to expiry, on the home's clock.
 
--- a/tests/bench/gossip_cost_main.cpp
+++ b/tests/bench/gossip_cost_main.cpp
@@ -12,7 +12,8 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 constexpr std::int64_t second = 1'000; // Milliseconds.
 constexpr int warmUpSeconds = 40;
 constexpr int measuredSeconds = 20;
@@ -33,7 +34,7 @@
 {
     const std::string host = "host-" + std::to_string(static_cast<std::size_t>(elapsed * hostStride) % members);
     network.start(host, network.nodes.at(host).dataCenter);
-    network.nodes.begin()->second.table->announce({ "service_policy", "pitchdesk", static_cast<std::uint64_t>(elapsed) + 1, 1 }, network.now);
+    network.nodes.begin()->second.table->announce({"service_policy", "pitchdesk", static_cast<std::uint64_t>(elapsed) + 1, 1}, network.now);
 }
 
 void report(const gossip_network &network, std::size_t members, bool isBusy, double micros)
@@ -61,7 +62,7 @@
     for (std::size_t number = 0; number < members; ++number) {
         network.start("host-" + std::to_string(number), "dc-" + std::to_string(number % dataCenters));
     }
-    network.run({ warmUpSeconds * second });
+    network.run({warmUpSeconds * second});
     clearCounts(network);
     network.changeHeard = [&](network_node &node, const change_announcement &change) {
         if (node.generation < change.generation) {
@@ -74,7 +75,7 @@
         if (isBusy) {
             disturb(network, members, elapsed);
         }
-        network.run({ second });
+        network.run({second});
     }
     report(network, members, isBusy, microsPerSecond * static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC);
 }
--- a/tests/bench/load_main.cpp
+++ b/tests/bench/load_main.cpp
@@ -22,20 +22,21 @@
 
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 load_options readFlags()
 {
     load_options options;
     const std::string service = absl::GetFlag(FLAGS_service);
-    options.operations = { { service,
-                             absl::GetFlag(FLAGS_operation),
-                             "load",
-                             absl::GetFlag(FLAGS_per_second),
-                             { absl::GetFlag(FLAGS_deadline_ms) },
-                             absl::GetFlag(FLAGS_retries),
-                             absl::GetFlag(FLAGS_at_most_once) } };
+    options.operations = {{service,
+                           absl::GetFlag(FLAGS_operation),
+                           "load",
+                           absl::GetFlag(FLAGS_per_second),
+                           {absl::GetFlag(FLAGS_deadline_ms)},
+                           absl::GetFlag(FLAGS_retries),
+                           absl::GetFlag(FLAGS_at_most_once)}};
     options.entries[service] = absl::GetFlag(FLAGS_entries);
-    options.duration = { absl::GetFlag(FLAGS_duration_ms) };
+    options.duration = {absl::GetFlag(FLAGS_duration_ms)};
     options.threads = absl::GetFlag(FLAGS_threads);
     options.useTickets = absl::GetFlag(FLAGS_tickets);
     return options;
--- a/tests/bench/measure_control.cpp
+++ b/tests/bench/measure_control.cpp
@@ -1,46 +1,17 @@
 /** @file measure_control.cpp What a daemon spends on control while no calls come, by the size of the fleet. */
 
+#include "bench/measure_process.h"
 #include "bench/measure_scenario.h"
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 #include <thread>
-#include <unistd.h>
 
-namespace cicadamux::test {
-
-namespace {
-constexpr std::int64_t settleMs = 4'000; ///< Until the views have settled and the backend servers are announced.
-constexpr double kilobyte = 1'024;
-
-/** @return Processor time of a process, seconds. */
-double processorSeconds(pid_t pid)
+namespace cicadamux::test
 {
-    std::ifstream stream("/proc/" + std::to_string(pid) + "/stat");
-    std::string line;
-    std::getline(stream, line);
-    std::istringstream fields(line.substr(line.rfind(')') + 1));
-    std::string skipped;
-    constexpr int fieldsBefore = 11; // From the state to cmajflt.
-    for (int field = 0; field < fieldsBefore; ++field) {
-        fields >> skipped;
-    }
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
 
-/** @return Resident memory of a process, megabytes. */
-double residentMegabytes(pid_t pid)
+namespace
 {
-    std::ifstream stream("/proc/" + std::to_string(pid) + "/statm");
-    double total = 0;
-    double resident = 0;
-    stream >> total >> resident;
-    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / kilobyte / kilobyte;
-}
+constexpr std::int64_t settleMs = 4'000; ///< Until the views have settled and the backend servers are announced.
 
 report_line controlOf(std::size_t hosts, const measure_options &options)
 {
@@ -51,7 +22,7 @@
     for (std::size_t number = 0; number < hosts; ++number) {
         service.dataCenters.push_back("dc-" + std::to_string(number % dataCenters + 1));
     }
-    made.fleet.services = { service };
+    made.fleet.services = {service};
     test_fleet fleet(made.fleet);
     std::this_thread::sleep_for(std::chrono::milliseconds(settleMs));
     const auto sumProcessor = [&] {
@@ -61,9 +32,12 @@
         }
         return sum;
     };
-    const auto platformCalls = [&] { return fleet.counters(fleet.platformAddress()).at("calls").to_number<double>(); };
+    const auto platformCalls = [&] {
+        return fleet.counters(fleet.platformAddress()).at("calls").to_number<double>();
+    };
     const double processorBefore = sumProcessor();
     const double sentBefore = sumGauge(fleet, "gossip_bytes_sent");
+    const double exchangedBefore = sumGauge(fleet, "exchange_bytes_sent");
     const double callsBefore = platformCalls();
     const clock_ms start = steadyNow();
     std::this_thread::sleep_for(std::chrono::milliseconds(options.phase.count * 2));
@@ -76,8 +50,10 @@
     }
     constexpr double percent = 100;
     report_line line;
-    line.add("scenario", "control-cost").add("daemons", std::uint64_t{ hosts });
+    line.add("scenario", "control-cost").add("daemons", std::uint64_t{hosts});
     line.add("core_percent", percent * (sumProcessor() - processorBefore) / daemonSeconds).add("resident_mb_max", resident);
+    const double exchanged = sumGauge(fleet, "exchange_bytes_sent") - exchangedBefore;
+    line.add("exchange_bytes_per_s", exchanged / daemonSeconds);
     line.add("gossip_bytes_per_s", (sumGauge(fleet, "gossip_bytes_sent") - sentBefore) / daemonSeconds);
     line.add("platform_calls_per_s_fleet", (platformCalls() - callsBefore) / seconds);
     line.add("waiting_watches", fleet.counters(fleet.platformAddress()).at("waiting_watches").to_number<std::uint64_t>());
@@ -88,8 +64,8 @@
 void measureControlCost(const measure_options &options)
 {
     std::vector<report_line> lines;
-    for (const std::size_t hosts : { 4U, 8U, 14U }) {
-        lines.push_back(controlOf(hosts, options));
+    for (const std::string &size : options.sizes) {
+        lines.push_back(controlOf(std::stoul(size), options));
         lines.back().print();
     }
     printTable(lines);
--- a/tests/bench/measure_deployment.cpp
+++ b/tests/bench/measure_deployment.cpp
@@ -10,9 +10,11 @@
 #include <fstream>
 #include <iterator>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr double serviceMs = 50; ///< Mean own work of one call; long, so that slots and not processors are short.
 constexpr double slowServiceMs = 150; ///< The same of agenda-taller, which otherwise would take most of the load.
 constexpr std::uint32_t layerRetries = 2; ///< Further attempts of each backend server's own calls.
@@ -24,7 +26,7 @@
     if (!stream) {
         throw error("can't read " + file.string());
     }
-    return { std::istreambuf_iterator<char>(stream), {} };
+    return {std::istreambuf_iterator<char>(stream), {}};
 }
 
 void readPolicies(const std::filesystem::path &folder, fleet_options &fleet)
@@ -58,7 +60,7 @@
 deployment_request makeRequest(const std::string &service, const std::string &operation, const std::string &label, double perSecond, std::int64_t deadline)
 {
     deployment_request request;
-    request.operation = { service, operation, label, perSecond, { deadline }, clientRetries, false };
+    request.operation = {service, operation, label, perSecond, {deadline}, clientRetries, false};
     return request;
 }
 
@@ -93,17 +95,17 @@
     made.scale = scale;
     made.deepService = "feebox";
     readPolicies(std::filesystem::path(examples) / "stallgrid", made.fleet);
-    made.fleet.services = { makeService("mapview", 4, 40, 330, scale, R"({"browse":[["stallfind","search"],["pitchdesk","availability"]]})"),
-                            makeService("pitchdesk", 3, 50, 400, scale, R"({"hold":[["feebox","fee-table"]],"availability":[["feebox","fee-table"]]})"),
-                            makeService("stallfind", 3, 15, 180, scale, "{}"),
-                            makeService("feebox", 3, 50, 400, scale, "{}") };
+    made.fleet.services = {makeService("mapview", 4, 40, 330, scale, R"({"browse":[["stallfind","search"],["pitchdesk","availability"]]})"),
+                           makeService("pitchdesk", 3, 50, 400, scale, R"({"hold":[["feebox","fee-table"]],"availability":[["feebox","fee-table"]]})"),
+                           makeService("stallfind", 3, 15, 180, scale, "{}"),
+                           makeService("feebox", 3, 50, 400, scale, "{}")};
     // Requests a second at full size, nine tenths of what the slots allow. A slot is held while its own calls wait:
     // browse 206 ms on 160 slots, hold and availability 102 ms on 150, search 50 ms on 45, fee table and pay 50 ms on 150.
     constexpr std::int64_t searchDeadline = 1'000;
-    made.requests = { makeDeep(makeProtected("pitchdesk", "hold", "pitch-hold", 620 * scale, true)),
-                      makeProtected("feebox", "pay", "fee-payment", 1'380 * scale, true),
-                      makeRequest("stallfind", "search", "stall-search", 110 * scale, searchDeadline),
-                      makeDeep(makeLeast("mapview", "browse", "map-browsing", 700 * scale)) };
+    made.requests = {makeDeep(makeProtected("pitchdesk", "hold", "pitch-hold", 620 * scale, true)),
+                     makeProtected("feebox", "pay", "fee-payment", 1'380 * scale, true),
+                     makeRequest("stallfind", "search", "stall-search", 110 * scale, searchDeadline),
+                     makeDeep(makeLeast("mapview", "browse", "map-browsing", 700 * scale))};
     return made;
 }
 
@@ -114,23 +116,24 @@
     made.scale = scale;
     made.deepService = "archivo-tol";
     readPolicies(std::filesystem::path(examples) / "guild", made.fleet);
-    made.fleet.services = { makeService("compras", 4, 50, 420, scale, R"({"order":[["archivo-tol","tolerance"]],"catalogue":[["archivo-tol","tolerance"]]})"),
-                            makeService("reclamos", 3, 20, 230, scale, R"({"warranty":[["archivo-tol","tolerance"]]})"),
-                            makeService("agenda-taller", 3, 70, 530, scale, "{}"),
-                            makeService("archivo-tol", 5, 40, 350, scale, "{}") };
+    made.fleet.services = {makeService("compras", 4, 50, 420, scale, R"({"order":[["archivo-tol","tolerance"]],"catalogue":[["archivo-tol","tolerance"]]})"),
+                           makeService("reclamos", 3, 20, 230, scale, R"({"warranty":[["archivo-tol","tolerance"]]})"),
+                           makeService("agenda-taller", 3, 70, 530, scale, "{}"),
+                           makeService("archivo-tol", 5, 40, 350, scale, "{}")};
     made.fleet.services[2].serviceMs = slowServiceMs;
     // Requests a second at full size, nine tenths of what the slots allow. A slot is held while its own calls wait:
     // warranty 102 ms on 60 slots, order and catalogue 102 ms on 200, reserve 150 ms on 210, tolerance 50 ms on 200.
     constexpr std::int64_t toleranceDeadline = 5'000;
-    made.requests = { makeDeep(makeProtected("reclamos", "warranty", "warranty-check", 530 * scale, false)),
-                      makeDeep(makeProtected("compras", "order", "prism-order", 600 * scale, true)),
-                      makeProtected("agenda-taller", "reserve", "bench-reservation", 1'260 * scale, true),
-                      makeRequest("archivo-tol", "tolerance", "tolerance-lookup", 1'290 * scale, toleranceDeadline),
-                      makeDeep(makeLeast("compras", "catalogue", "catalogue", 1'160 * scale)) };
+    made.requests = {makeDeep(makeProtected("reclamos", "warranty", "warranty-check", 530 * scale, false)),
+                     makeDeep(makeProtected("compras", "order", "prism-order", 600 * scale, true)),
+                     makeProtected("agenda-taller", "reserve", "bench-reservation", 1'260 * scale, true),
+                     makeRequest("archivo-tol", "tolerance", "tolerance-lookup", 1'290 * scale, toleranceDeadline),
+                     makeDeep(makeLeast("compras", "catalogue", "catalogue", 1'160 * scale))};
     return made;
 }
 
-namespace {
+namespace
+{
 /** @param through Names of the deeper layers, as the elements of a JSON list. */
 std::string makeChainPolicy(const std::string &service, const std::string &through)
 {
@@ -161,7 +164,7 @@
         const std::string calls = layer == depth ? "{}" : R"({"work":[["layer-)" + std::to_string(layer + 1) + R"(","work"]]})";
         fleet_service service = makeService(name, 1, slots, 400, 1, calls);
         service.serviceMs = chainServiceMs;
-        service.callTimeout = { 5'000 };
+        service.callTimeout = {5'000};
         made.fleet.services.push_back(service);
         made.fleet.policies.push_back(makeChainPolicy(name, through));
     }
@@ -169,13 +172,15 @@
     constexpr std::int64_t deadline = 5'000;
     deployment_request request = makeRequest("layer-1", "work", "work", perSecond, deadline);
     request.operation.retries = 0;
-    made.requests = { request };
+    made.requests = {request};
     return made;
 }
 
 void keepDeepRequests(deployment &subject)
 {
-    std::erase_if(subject.requests, [](const deployment_request &request) { return !request.isDeep; });
+    std::erase_if(subject.requests, [](const deployment_request &request) {
+        return !request.isDeep;
+    });
 }
 
 std::vector<load_operation> mixOf(const deployment &subject, double factor)
--- a/tests/bench/measure_deployment.h
+++ b/tests/bench/measure_deployment.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** One part of the usual mix of requests. */
 struct deployment_request {
--- a/tests/bench/measure_fault.cpp
+++ b/tests/bench/measure_fault.cpp
@@ -10,9 +10,11 @@
 #include <algorithm>
 #include <unordered_map>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t stormDepth = 8;
 constexpr std::uint32_t stormSlots = 64;
 constexpr std::uint64_t chainAllowance = 3; ///< `retries` in makeChain()'s policies.
@@ -20,7 +22,7 @@
 /** @return Runs of each request id of one operation, over all backend servers of its service. */
 std::unordered_map<std::string, std::uint64_t> runsById(const test_fleet &fleet, const std::string &service, const std::string &operation)
 {
-    constexpr clock_ms timeout{ 10'000 };
+    constexpr clock_ms timeout{10'000};
     std::unordered_map<std::string, std::uint64_t> runs;
     http_message request;
     request.method = "GET";
@@ -40,7 +42,7 @@
     made.fleet.mode = parseMode(mode);
     test_fleet fleet(made.fleet);
     for (const fleet_host &host : fleet.hostsOf(made.deepService)) {
-        fleet.control(host.backend, { { "fault", "fail" } });
+        fleet.control(host.backend, {{"fault", "fail"}});
     }
     const cpu_meter meter;
     const std::uint64_t receivedBefore = sumCounter(fleet, "received");
@@ -58,7 +60,7 @@
     }
     const auto perRoot = static_cast<double>(received) / static_cast<double>(std::max<std::uint64_t>(total.tried, 1));
     report_line line;
-    line.add("scenario", "retry-storm").add("mode", mode).add("depth", std::uint64_t{ stormDepth }).add("roots", total.tried);
+    line.add("scenario", "retry-storm").add("mode", mode).add("depth", std::uint64_t{stormDepth}).add("roots", total.tried);
     line.add("attempts_max", std::max(most, deepest)).add("attempts_bound", 1 + chainAllowance);
     line.add("amplification", perRoot / stormDepth)
         .add("calls_for_each_root", perRoot)
@@ -99,11 +101,11 @@
     made.fleet.mode = parseMode(mode);
     test_fleet fleet(made.fleet);
     for (const fleet_host &host : fleet.hosts()) {
-        fleet.control(host.backend, { { "fault", "late_answer" }, { "ratio", 0.02 }, { "delay_ms", 2'500 } });
-        fleet.control(host.backend, { { "fault", "double_answer" }, { "ratio", 0.02 } });
-        fleet.control(host.backend, { { "fault", "half_answer" }, { "ratio", 0.02 } });
-        fleet.control(host.backend, { { "fault", "no_answer" }, { "ratio", 0.02 } });
-        fleet.control(host.backend, { { "fault", "shed" }, { "ratio", 0.02 } });
+        fleet.control(host.backend, {{"fault", "late_answer"}, {"ratio", 0.02}, {"delay_ms", 2'500}});
+        fleet.control(host.backend, {{"fault", "double_answer"}, {"ratio", 0.02}});
+        fleet.control(host.backend, {{"fault", "half_answer"}, {"ratio", 0.02}});
+        fleet.control(host.backend, {{"fault", "no_answer"}, {"ratio", 0.02}});
+        fleet.control(host.backend, {{"fault", "shed"}, {"ratio", 0.02}});
     }
     constexpr double factor = 0.5;
     const cpu_meter meter;
--- a/tests/bench/measure_flood.cpp
+++ b/tests/bench/measure_flood.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr double usualFactor = 0.5; ///< Of the capacity, for the work that doesn't flood.
 constexpr double floodFactor = 5; ///< Of the capacity, for the work that floods.
 
--- a/tests/bench/measure_latency.cpp
+++ b/tests/bench/measure_latency.cpp
@@ -2,9 +2,11 @@
 
 #include "bench/measure_scenario.h"
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr double quarter = 0.25;
 constexpr double latencyServiceMs = 4;
 constexpr std::uint32_t latencySlots = 8;
@@ -35,7 +37,7 @@
     const double capacity = static_cast<double>(servers.size() * latencySlots) * second / latencyServiceMs;
 
     load_options load;
-    load.operations = { { "feebox", "fee-table", "through", capacity * quarter / 2, { 1'000 }, 0, false } };
+    load.operations = {{"feebox", "fee-table", "through", capacity * quarter / 2, {1'000}, 0, false}};
     for (const fleet_host &host : fleet.hostsOf("stallfind")) {
         load.entries["feebox"].push_back(host.edge);
     }
@@ -54,13 +56,15 @@
     load_run directRun(direct);
     const load_count through = throughRun.finish().total();
     const load_count plain = directRun.finish().total();
-    const auto added = [&](double part) { return percentile(through.latencies, part) - percentile(plain.latencies, part); };
+    const auto added = [&](double part) {
+        return percentile(through.latencies, part) - percentile(plain.latencies, part);
+    };
     report_line line;
     line.add("scenario", "added-latency").add("added_ms_p50", added(0.5)).add("added_ms_p99", added(0.99));
     line.add("direct_ms_p50", percentile(plain.latencies, 0.5)).add("direct_ms_p99", percentile(plain.latencies, 0.99));
     line.add("calls", through.tried).add("good", through.good).add("direct_good", plain.good).add("capacity_part", quarter).add("cpu_busy", meter.busy());
     line.print();
-    printTable({ line });
+    printTable({line});
     const std::string problems = fleet.stop();
     if (!problems.empty()) {
         throw process_error(problems);
--- a/tests/bench/measure_main.cpp
+++ b/tests/bench/measure_main.cpp
@@ -10,24 +10,34 @@
 #include <exception>
 #include <iostream>
 
+ABSL_FLAG(std::vector<std::string>, sizes, std::vector<std::string>({"4", "10", "30"}), "daemons of each run of control-cost");
+ABSL_FLAG(std::uint32_t, changes, 100, "changes of configuration of config");
 ABSL_FLAG(double, scale, 0.1, "slots of the run over the deployment's own");
 ABSL_FLAG(std::string, examples, "examples", "folder with the policies of both deployments");
-ABSL_FLAG(std::vector<std::string>, deployments, std::vector<std::string>({ "stallgrid", "guild" }), "deployments to run");
-ABSL_FLAG(std::vector<std::string>, modes, std::vector<std::string>({ "full", "no-admission", "direct" }), "the product and its baselines");
+ABSL_FLAG(std::vector<std::string>, deployments, std::vector<std::string>({"stallgrid", "guild"}), "deployments to run");
+ABSL_FLAG(std::vector<std::string>, modes, std::vector<std::string>({"full", "no-admission", "direct"}), "the product and its baselines");
 ABSL_FLAG(std::int64_t, phase_ms, 5'000, "length of one phase of load, milliseconds");
 
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 struct scenario_row {
     std::string_view name;
     void (*run)(const measure_options &);
 };
 
-constexpr std::array scenarios{ scenario_row{ "added-latency", measureAddedLatency }, scenario_row{ "surge", measureSurge },
-                                scenario_row{ "slow-deep", measureSlowDeep },         scenario_row{ "flood-low", measureFloodLow },
-                                scenario_row{ "flood-high", measureFloodHigh },       scenario_row{ "retry-storm", measureRetryStorm },
-                                scenario_row{ "late-answers", measureLateAnswers },   scenario_row{ "control-cost", measureControlCost } };
+constexpr std::array scenarios{scenario_row{"added-latency", measureAddedLatency},
+                               scenario_row{"surge", measureSurge},
+                               scenario_row{"slow-deep", measureSlowDeep},
+                               scenario_row{"flood-low", measureFloodLow},
+                               scenario_row{"flood-high", measureFloodHigh},
+                               scenario_row{"retry-storm", measureRetryStorm},
+                               scenario_row{"late-answers", measureLateAnswers},
+                               scenario_row{"control-cost", measureControlCost},
+                               scenario_row{"call-cost", measureCallCost},
+                               scenario_row{"config", measureConfig},
+                               scenario_row{"drain", measureDrain}};
 
 int runScenario(std::string_view name)
 {
@@ -36,7 +46,9 @@
     options.examples = absl::GetFlag(FLAGS_examples);
     options.deployments = absl::GetFlag(FLAGS_deployments);
     options.modes = absl::GetFlag(FLAGS_modes);
-    options.phase = { absl::GetFlag(FLAGS_phase_ms) };
+    options.sizes = absl::GetFlag(FLAGS_sizes);
+    options.changes = absl::GetFlag(FLAGS_changes);
+    options.phase = {absl::GetFlag(FLAGS_phase_ms)};
     for (const scenario_row &row : scenarios) {
         if (row.name == name) {
             row.run(options);
--- a/tests/bench/measure_overload.cpp
+++ b/tests/bench/measure_overload.cpp
@@ -5,9 +5,11 @@
 #include <iostream>
 #include <thread>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr double warmFactor = 0.5; ///< Load that warms connections and limits before a measurement.
 
 double goodput(const load_result &result)
@@ -91,19 +93,23 @@
     test_fleet fleet(made.fleet);
     const cpu_meter meter;
     const clock_ms before = options.phase;
-    const clock_ms slow{ options.phase.count * 2 };
-    const clock_ms after{ options.phase.count * 2 };
+    const clock_ms slow{options.phase.count * 2};
+    const clock_ms after{options.phase.count * 2};
     load_options load = makeLoad(fleet, made, made.fleet.mode, usualFactor, before + slow + after);
     const clock_ms step = load.seriesStep;
     load_run run(load);
     std::this_thread::sleep_for(std::chrono::milliseconds(before.count));
     for (const fleet_host &host : fleet.hostsOf(made.deepService)) {
-        fleet.control(host.backend, { { "fault", "slow" }, { "factor", slowFactor }, { "for_ms", slow.count } });
+        fleet.control(host.backend, {{"fault", "slow"}, {"factor", slowFactor}, {"for_ms", slow.count}});
     }
     const load_result result = run.finish();
     const auto series = result.total().series;
-    const auto steps = [&](clock_ms span) { return static_cast<std::size_t>(span.count / step.count); };
-    const auto sumOf = [&](std::size_t from, std::size_t to) { return sumSteps(series, from, to - from) / static_cast<double>(to - from); };
+    const auto steps = [&](clock_ms span) {
+        return static_cast<std::size_t>(span.count / step.count);
+    };
+    const auto sumOf = [&](std::size_t from, std::size_t to) {
+        return sumSteps(series, from, to - from) / static_cast<double>(to - from);
+    };
     const double usual = sumOf(steps(before) / 2, steps(before));
     const std::size_t slowEnd = steps(before + slow);
     const std::size_t end = slowEnd + steps(after);
--- a/tests/bench/measure_report.cpp
+++ b/tests/bench/measure_report.cpp
@@ -8,9 +8,11 @@
 #include <fstream>
 #include <iostream>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 /** @return Busy and total time of all processors since the machine's start. */
 std::pair<double, double> readProcessorTimes()
 {
@@ -28,7 +30,7 @@
         total += value;
         idle += column == idleColumn || column == waitColumn ? value : 0;
     }
-    return { total - idle, total };
+    return {total - idle, total};
 }
 } // namespace
 
--- a/tests/bench/measure_report.h
+++ b/tests/bench/measure_report.h
@@ -9,7 +9,8 @@
 #include <utility>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** Values by name, in the order in which they were added; printed as one line of key=value pairs. */
 class report_line
--- a/tests/bench/measure_scenario.cpp
+++ b/tests/bench/measure_scenario.cpp
@@ -6,7 +6,8 @@
 
 #include <sstream>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 deployment makeDeployment(std::string_view name, const measure_options &options)
 {
@@ -58,7 +59,7 @@
 
 double sumGauge(const test_fleet &fleet, std::string_view name)
 {
-    constexpr clock_ms timeout{ 5'000 };
+    constexpr clock_ms timeout{5'000};
     http_message request;
     request.method = "GET";
     request.target = "/metrics";
--- a/tests/bench/measure_scenario.h
+++ b/tests/bench/measure_scenario.h
@@ -11,14 +11,17 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 struct measure_options {
     double scale = 0.1; ///< Slots of a run over the deployment's own.
     std::string examples; ///< Folder with the policies.
     std::vector<std::string> deployments; ///< `stallgrid`, `guild`.
     std::vector<std::string> modes; ///< `full`, `no-admission`, `direct`.
-    clock_ms phase{ 5'000 }; ///< Length of one phase of load.
+    clock_ms phase{5'000}; ///< Length of one phase of load.
+    std::vector<std::string> sizes; ///< Daemons of each run of control-cost.
+    std::uint32_t changes = 100; ///< Changes of configuration.
 };
 
 void measureAddedLatency(const measure_options &options);
@@ -29,6 +32,9 @@
 void measureRetryStorm(const measure_options &options);
 void measureLateAnswers(const measure_options &options);
 void measureControlCost(const measure_options &options);
+void measureCallCost(const measure_options &options);
+void measureConfig(const measure_options &options);
+void measureDrain(const measure_options &options);
 
 /** @throws cicadamux::error if there is no such deployment. */
 deployment makeDeployment(std::string_view name, const measure_options &options);
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -12,9 +12,10 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 
-constexpr clock_ms soon{ 10'000 }; ///< Bound on waiting for an event; no test passes by it.
+constexpr clock_ms soon{10'000}; ///< Bound on waiting for an event; no test passes by it.
 
 /** Sends calls one after another until it is told to stop, and counts how they end. */
 class steady_load
@@ -25,7 +26,9 @@
         , m_operation(std::move(operation))
     {
         for (std::size_t host = 0; host < fleet.hosts().size(); ++host) {
-            m_threads.emplace_back([this, host] { run(host); });
+            m_threads.emplace_back([this, host] {
+                run(host);
+            });
         }
     }
 
@@ -96,7 +99,7 @@
 
     const test_fleet &m_fleet;
     std::string m_operation;
-    std::atomic<bool> m_ended{ false };
+    std::atomic<bool> m_ended{false};
     mutable std::mutex m_mutex;
     std::map<std::string, std::uint64_t> m_outcomes;
     std::vector<std::thread> m_threads;
@@ -122,10 +125,18 @@
     steady_load load(fleet, "pay");
     for (std::size_t host = 0; host < fleet.hosts().size(); ++host) {
         const std::uint64_t before = load.count("answered");
-        CHECK(waitUntil([&] { return load.count("answered") > before + 20; }, soon));
+        CHECK(waitUntil(
+            [&] {
+                return load.count("answered") > before + 20;
+            },
+            soon));
         CHECK(fleet.daemon(host).stop(soon) == 0);
         fleet.restartDaemon(host);
-        CHECK(waitUntil([&] { return allAnswer(fleet, "pay"); }, soon));
+        CHECK(waitUntil(
+            [&] {
+                return allAnswer(fleet, "pay");
+            },
+            soon));
     }
     load.stop();
     CAPTURE(load.summary());
@@ -137,10 +148,18 @@
 {
     test_fleet fleet(stallOptions());
     steady_load load(fleet, "show");
-    CHECK(waitUntil([&] { return load.count("answered") > 50; }, soon));
+    CHECK(waitUntil(
+        [&] {
+            return load.count("answered") > 50;
+        },
+        soon));
     CHECK(fleet.backend(0).stop(soon) == 0);
     const std::uint64_t before = load.count("answered");
-    CHECK(waitUntil([&] { return load.count("answered") > before + 50; }, soon));
+    CHECK(waitUntil(
+        [&] {
+            return load.count("answered") > before + 50;
+        },
+        soon));
     load.stop();
     CAPTURE(load.summary());
     CHECK(load.cut() == 0);
@@ -161,9 +180,17 @@
     REQUIRE(runsOf(home.backend, "hold", "once") == 1);
     const std::int64_t ranBefore = runsOf(fleet.hosts()[0].backend, "hold", "once");
     fleet.daemon(0).kill();
-    CHECK(waitUntil([&] { return outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", "after", {})) == "answered"; }, soon));
+    CHECK(waitUntil(
+        [&] {
+            return outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", "after", {})) == "answered";
+        },
+        soon));
     fleet.restartDaemon(0);
-    CHECK(waitUntil([&] { return allAnswer(fleet, "pay"); }, soon));
+    CHECK(waitUntil(
+        [&] {
+            return allAnswer(fleet, "pay");
+        },
+        soon));
     const std::string outcome = outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "hold", "once", extras));
     CHECK(outcome == "unknown ticket_home_gone");
     CHECK(runsOf(fleet.hosts()[0].backend, "hold", "once") == ranBefore);
@@ -183,9 +210,17 @@
     for (std::size_t number = 0; number < held.size(); ++number) {
         outcomes.push_back(outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "hold", "frozen-" + std::to_string(number), held[number])));
     }
-    CHECK(waitUntil([&] { return metricAt(fleet.hosts()[3].admin, "members") == 3; }, { 30'000 }));
+    CHECK(waitUntil(
+        [&] {
+            return metricAt(fleet.hosts()[3].admin, "members") == 3;
+        },
+        {30'000}));
     fleet.daemon(0).resume();
-    CHECK(waitUntil([&] { return allAnswer(fleet, "pay"); }, soon));
+    CHECK(waitUntil(
+        [&] {
+            return allAnswer(fleet, "pay");
+        },
+        soon));
     for (std::size_t number = 0; number < held.size(); ++number) {
         CAPTURE(outcomes[number]);
         const std::string id = "frozen-" + std::to_string(number);
@@ -199,11 +234,15 @@
 TEST_CASE("with the platform down calls go on, and a new daemon learns the policy from its peers")
 {
     test_fleet fleet(stallOptions());
-    fleet.control(fleet.platformAddress(), { { "fault", "down" }, { "for_ms", 60'000 } });
+    fleet.control(fleet.platformAddress(), {{"fault", "down"}, {"for_ms", 60'000}});
     CHECK(allAnswer(fleet, "pay"));
     CHECK(fleet.daemon(1).stop(soon) == 0);
     fleet.restartDaemon(1);
-    CHECK(waitUntil([&] { return allAnswer(fleet, "pay"); }, soon));
+    CHECK(waitUntil(
+        [&] {
+            return allAnswer(fleet, "pay");
+        },
+        soon));
     CHECK(violations(fleet) == 0);
 }
 
@@ -223,7 +262,11 @@
     CHECK(waitUntil(showIsGone, soon));
     fleet.putObject("service_policy", "pitchdesk", R"({"generation":1,"operation_id":"restored","service":"pitchdesk","operations":[
         {"name":"show","class":"browse","rank":"browse","passes_through":[],"deadline_ms":2000,"deadline_kind":"strict","retries":0,"at_most_once":false}]})");
-    CHECK(waitUntil([&] { return metricSum(fleet, "stale_offers") > 0; }, soon));
+    CHECK(waitUntil(
+        [&] {
+            return metricSum(fleet, "stale_offers") > 0;
+        },
+        soon));
     CHECK(showIsGone());
     CHECK(violations(fleet) == 0);
 }
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -65,9 +65,9 @@
     test_fleet fleet(stallOptions());
     const std::string &edge = fleet.hosts()[3].edge;
     const auto faultAll = [&fleet](const char *fault) {
-        for (const std::size_t host : { 0U, 1U }) {
-            fleet.control(fleet.hosts()[host].backend, { { "fault", "clear" } });
-            fleet.control(fleet.hosts()[host].backend, { { "fault", fault }, { "delay_ms", 900 } });
+        for (const std::size_t host : {0U, 1U}) {
+            fleet.control(fleet.hosts()[host].backend, {{"fault", "clear"}});
+            fleet.control(fleet.hosts()[host].backend, {{"fault", fault}, {"delay_ms", 900}});
         }
     };
     call_extras quick;
@@ -77,10 +77,10 @@
         std::string outcome;
     };
     const std::vector<expectation> expectations = {
-        { "half_answer", "unknown answer_broken" },
-        { "wrong_length", "unknown answer_broken" },
-        { "no_answer", "unknown connection_lost" },
-        { "late_answer", "unknown answer_timeout" },
+        {"half_answer", "unknown answer_broken"},
+        {"wrong_length", "unknown answer_broken"},
+        {"no_answer", "unknown connection_lost"},
+        {"late_answer", "unknown answer_timeout"},
     };
     int number = 0;
     for (const expectation &expected : expectations) {
@@ -101,11 +101,11 @@
 TEST_CASE("shed work is refused as not run, and protected work is tried at another upstream first")
 {
     test_fleet fleet(stallOptions());
-    fleet.control(fleet.hosts()[0].backend, { { "fault", "shed" } });
+    fleet.control(fleet.hosts()[0].backend, {{"fault", "shed"}});
     for (int round = 0; round < 10; ++round) {
         CHECK(outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", "id-" + std::to_string(round), {})) == "answered");
     }
-    fleet.control(fleet.hosts()[1].backend, { { "fault", "shed" } });
+    fleet.control(fleet.hosts()[1].backend, {{"fault", "shed"}});
     CHECK(outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", "id-x", {})) == "not-run shed");
 }
 
@@ -113,7 +113,7 @@
 {
     test_fleet fleet(stallOptions());
     const fleet_host host = fleet.hosts()[0];
-    for (const std::string &address : { host.edge, host.local, host.admin }) {
+    for (const std::string &address : {host.edge, host.local, host.admin}) {
         raw_socket socket(address);
         socket.send("NONSENSE\r\n\r\n");
         CHECK(socket.receiveAll().find("bad_request") != std::string::npos);
@@ -126,7 +126,7 @@
     announcement.method = "POST";
     announcement.target = "/cicadamux/announce";
     announcement.body = R"({"service":"Pitch Desk","address":"x"})";
-    CHECK(callHttp(host.local, announcement, { 2'000 }).message.status == 400);
+    CHECK(callHttp(host.local, announcement, {2'000}).message.status == 400);
     CHECK(outcomeIn(callWith(host.edge, "pitchdesk", "pay", "id-1", {})) == "answered");
 }
 
@@ -134,7 +134,7 @@
 {
     test_fleet fleet(stallOptions());
     for (const fleet_host &host : fleet.hostsOf("feebox")) {
-        fleet.control(host.backend, { { "fault", "slow" }, { "factor", 500 } });
+        fleet.control(host.backend, {{"fault", "slow"}, {"factor", 500}});
     }
     const auto sumOf = [&fleet](const char *counter) {
         return fleet.counters(fleet.hosts()[2].backend).at(counter).to_number<int>() + fleet.counters(fleet.hosts()[3].backend).at(counter).to_number<int>();
@@ -144,10 +144,22 @@
         raw_socket caller(fleet.hosts()[0].edge);
         caller.send("POST / HTTP/1.1\r\nHost: h\r\ncicadamux-service: pitchdesk\r\ncicadamux-operation: pay\r\n"
                     "Content-Length: 13\r\n\r\n{\"id\":\"gone\"}");
-        CHECK(waitUntil([&] { return sumOf("runs") > before; }, { 10'000 }));
+        CHECK(waitUntil(
+            [&] {
+                return sumOf("runs") > before;
+            },
+            {10'000}));
     }
-    CHECK(waitUntil([&] { return sumOf("cancelled") == 1; }, { 4'000 }));
-    CHECK(waitUntil([&] { return metricSum(fleet, "gate_in_use") == 0; }, { 4'000 }));
+    CHECK(waitUntil(
+        [&] {
+            return sumOf("cancelled") == 1;
+        },
+        {4'000}));
+    CHECK(waitUntil(
+        [&] {
+            return metricSum(fleet, "gate_in_use") == 0;
+        },
+        {4'000}));
     CHECK(violations(fleet) == 0);
 }
 
@@ -157,8 +169,8 @@
     options.services[0].retries = 5;
     options.services[1].retries = 5;
     test_fleet fleet(options);
-    fleet.control(fleet.hosts()[2].backend, { { "fault", "fail" } });
-    fleet.control(fleet.hosts()[3].backend, { { "fault", "fail" } });
+    fleet.control(fleet.hosts()[2].backend, {{"fault", "fail"}});
+    fleet.control(fleet.hosts()[3].backend, {{"fault", "fail"}});
     constexpr int roots = 20;
     constexpr int allowance = 2; // Of pitchdesk/pay in stallOptions().
     for (int root = 0; root < roots; ++root) {
@@ -174,8 +186,8 @@
 TEST_CASE("a call that one upstream may have run is never said to be not run")
 {
     test_fleet fleet(stallOptions());
-    fleet.control(fleet.hosts()[0].backend, { { "fault", "no_answer" } });
-    fleet.control(fleet.hosts()[1].backend, { { "fault", "shed" } });
+    fleet.control(fleet.hosts()[0].backend, {{"fault", "no_answer"}});
+    fleet.control(fleet.hosts()[1].backend, {{"fault", "shed"}});
     for (int round = 0; round < 10; ++round) {
         const std::string id = "maybe-" + std::to_string(round);
         CHECK(outcomeIn(callWith(fleet.hosts()[3].edge, "pitchdesk", "pay", id, {})).starts_with("unknown"));
@@ -190,7 +202,7 @@
     call_extras extras;
     extras.ticket = takeTicket(home.edge, "pitchdesk", "hold");
     for (const fleet_host &host : fleet.hostsOf("pitchdesk")) {
-        fleet.control(host.backend, { { "fault", "no_answer" } });
+        fleet.control(host.backend, {{"fault", "no_answer"}});
     }
     const http_reply first = callWith(home.edge, "pitchdesk", "hold", "id-1", extras);
     REQUIRE(outcomeIn(first) == "unknown connection_lost");
@@ -206,13 +218,21 @@
 {
     test_fleet fleet(stallOptions());
     for (const fleet_host &host : fleet.hostsOf("pitchdesk")) {
-        fleet.control(host.backend, { { "fault", "slow" }, { "factor", 150 } });
+        fleet.control(host.backend, {{"fault", "slow"}, {"factor", 150}});
     }
     std::string outcome;
-    std::thread caller([&] { outcome = outcomeIn(callWith(fleet.hosts()[2].edge, "pitchdesk", "show", "slow", {})); });
-    const auto running = [&fleet](std::size_t host) { return metricAt(fleet.hosts()[host].admin, "gate_in_use") > 0; };
-    CHECK(waitUntil([&] { return running(0) || running(1); }, { 5'000 }));
-    CHECK(fleet.daemon(running(0) ? 0 : 1).stop({ 10'000 }) == 0);
+    std::thread caller([&] {
+        outcome = outcomeIn(callWith(fleet.hosts()[2].edge, "pitchdesk", "show", "slow", {}));
+    });
+    const auto running = [&fleet](std::size_t host) {
+        return metricAt(fleet.hosts()[host].admin, "gate_in_use") > 0;
+    };
+    CHECK(waitUntil(
+        [&] {
+            return running(0) || running(1);
+        },
+        {5'000}));
+    CHECK(fleet.daemon(running(0) ? 0 : 1).stop({10'000}) == 0);
     caller.join();
     CHECK(outcome == "answered");
 }
--- a/tests/standin/backend_standin_caller.cpp
+++ b/tests/standin/backend_standin_caller.cpp
@@ -4,9 +4,11 @@
 
 #include "support/payload_func.h"
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr unsigned statusOk = 200;
 }
 
@@ -48,12 +50,14 @@
     http_message request;
     request.method = "POST";
     request.target = "/" + pending->target.operation;
-    request.headers = { { "content-type", "application/json" },
-                        { "cicadamux-service", pending->target.service },
-                        { "cicadamux-operation", pending->target.operation },
-                        { "cicadamux-context", pending->callContext } };
+    request.headers = {{"content-type", "application/json"},
+                       {"cicadamux-service", pending->target.service},
+                       {"cicadamux-operation", pending->target.operation},
+                       {"cicadamux-context", pending->callContext}};
     request.body = formatPayload(pending->id);
-    m_client.send(address, request, m_settings.callTimeout, [this, pending](const http_reply &reply) { ended(pending, reply); });
+    m_client.send(address, request, m_settings.callTimeout, [this, pending](const http_reply &reply) {
+        ended(pending, reply);
+    });
 }
 
 void backend_caller::ended(const std::shared_ptr<pending_call> &pending, const http_reply &reply)
--- a/tests/standin/backend_standin_caller.h
+++ b/tests/standin/backend_standin_caller.h
@@ -9,7 +9,8 @@
 #include <memory>
 #include <string>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** Called with whether the call was answered with status 200. */
 using call_handler = std::function<void(bool ok)>;
--- a/tests/standin/backend_standin_control.cpp
+++ b/tests/standin/backend_standin_control.cpp
@@ -10,10 +10,12 @@
 #include <algorithm>
 #include <limits>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
-constexpr clock_ms untilCleared{ 86'400'000 }; ///< A fault without for_ms lasts a day, if it isn't cleared.
+namespace
+{
+constexpr clock_ms untilCleared{86'400'000}; ///< A fault without for_ms lasts a day, if it isn't cleared.
 constexpr unsigned statusBadRequest = 400;
 
 double numberIn(const boost::json::object &command, std::string_view key, double otherwise)
@@ -36,7 +38,7 @@
             return;
         }
     }
-    answer.headers = { { "content-type", "application/json" } };
+    answer.headers = {{"content-type", "application/json"}};
     answer.body = boost::json::serialize(counters());
     exchange->answer(answer);
 }
@@ -59,8 +61,8 @@
     fault.ratio = numberIn(command, "ratio", 1);
     fault.count = static_cast<std::int64_t>(numberIn(command, "count", std::numeric_limits<std::int32_t>::max()));
     fault.factor = numberIn(command, "factor", 1);
-    fault.delay = { static_cast<std::int64_t>(numberIn(command, "delay_ms", 1'000)) };
-    fault.until = steadyNow() + clock_ms{ static_cast<std::int64_t>(numberIn(command, "for_ms", static_cast<double>(untilCleared.count))) };
+    fault.delay = {static_cast<std::int64_t>(numberIn(command, "delay_ms", 1'000))};
+    fault.until = steadyNow() + clock_ms{static_cast<std::int64_t>(numberIn(command, "for_ms", static_cast<double>(untilCleared.count)))};
     m_worker.setFault(static_cast<backend_fault>(found - backendFaultNames.begin()), fault);
     return true;
 }
@@ -72,23 +74,23 @@
     for (const auto &[operation, runs] : counters.runsByOperation) {
         byOperation[operation] = runs;
     }
-    return { { "service", m_settings.service },
-             { "received", counters.received },
-             { "runs", counters.runs },
-             { "answered", counters.answered },
-             { "failed", counters.failed },
-             { "shed", counters.shed },
-             { "cancelled", counters.cancelled },
-             { "expired", counters.expired },
-             { "calls_made", counters.callsMade },
-             { "calls_retried", counters.callsRetried },
-             { "calls_not_run", counters.callsNotRun },
-             { "calls_unknown", counters.callsUnknown },
-             { "wrong_answers", counters.wrongAnswers },
-             { "max_concurrency", counters.maxConcurrency },
-             { "unfinished", m_worker.unfinished() },
-             { "connections", m_server.connections() },
-             { "runs_by_operation", std::move(byOperation) } };
+    return {{"service", m_settings.service},
+            {"received", counters.received},
+            {"runs", counters.runs},
+            {"answered", counters.answered},
+            {"failed", counters.failed},
+            {"shed", counters.shed},
+            {"cancelled", counters.cancelled},
+            {"expired", counters.expired},
+            {"calls_made", counters.callsMade},
+            {"calls_retried", counters.callsRetried},
+            {"calls_not_run", counters.callsNotRun},
+            {"calls_unknown", counters.callsUnknown},
+            {"wrong_answers", counters.wrongAnswers},
+            {"max_concurrency", counters.maxConcurrency},
+            {"unfinished", m_worker.unfinished()},
+            {"connections", m_server.connections()},
+            {"runs_by_operation", std::move(byOperation)}};
 }
 
 void backend_server::handleRuns(const std::shared_ptr<http_exchange> &exchange)
--- a/tests/standin/backend_standin_fault.cpp
+++ b/tests/standin/backend_standin_fault.cpp
@@ -2,7 +2,8 @@
 
 #include "standin/backend_standin_worker.h"
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 void backend_worker::setFault(backend_fault which, const fault_state &fault)
 {
--- a/tests/standin/backend_standin_main.cpp
+++ b/tests/standin/backend_standin_main.cpp
@@ -29,8 +29,9 @@
 
 using namespace cicadamux::test;
 
-namespace {
-constexpr cicadamux::clock_ms longestDrain{ 30'000 };
+namespace
+{
+constexpr cicadamux::clock_ms longestDrain{30'000};
 
 std::string textOf(const boost::json::value &value)
 {
@@ -45,14 +46,14 @@
     settings.slots = absl::GetFlag(FLAGS_slots);
     settings.connections = absl::GetFlag(FLAGS_connections);
     settings.serviceMs = absl::GetFlag(FLAGS_service_ms);
-    settings.coldFor = { absl::GetFlag(FLAGS_cold_ms) };
+    settings.coldFor = {absl::GetFlag(FLAGS_cold_ms)};
     settings.honoursDeadline = absl::GetFlag(FLAGS_honour_deadline);
     settings.retries = absl::GetFlag(FLAGS_retries);
-    settings.callTimeout = { absl::GetFlag(FLAGS_call_timeout_ms) };
+    settings.callTimeout = {absl::GetFlag(FLAGS_call_timeout_ms)};
     const auto callsByOperation = boost::json::parse(absl::GetFlag(FLAGS_calls));
     for (const auto &[operation, calls] : callsByOperation.as_object()) {
         for (const auto &call : calls.as_array()) {
-            settings.calls[operation].push_back({ textOf(call.as_array().at(0)), textOf(call.as_array().at(1)) });
+            settings.calls[operation].push_back({textOf(call.as_array().at(0)), textOf(call.as_array().at(1))});
         }
     }
     const auto directByService = boost::json::parse(absl::GetFlag(FLAGS_direct));
@@ -68,7 +69,7 @@
 int serve(const backend_settings &settings)
 {
     boost::asio::io_context context(1);
-    backend_server server(context, absl::GetFlag(FLAGS_address), { absl::GetFlag(FLAGS_connect_cost_ms) }, settings);
+    backend_server server(context, absl::GetFlag(FLAGS_address), {absl::GetFlag(FLAGS_connect_cost_ms)}, settings);
     boost::asio::steady_timer longest(context);
     int result = 1;
     onStopSignal(context, [&] {
@@ -77,7 +78,9 @@
             context.stop();
         });
         longest.expires_after(std::chrono::milliseconds(longestDrain.count));
-        longest.async_wait([&](boost::system::error_code) { context.stop(); });
+        longest.async_wait([&](boost::system::error_code) {
+            context.stop();
+        });
     });
     printReady(server.address());
     context.run();
--- a/tests/standin/backend_standin_server.cpp
+++ b/tests/standin/backend_standin_server.cpp
@@ -7,12 +7,14 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
-constexpr clock_ms announcePeriod{ 1'000 };
-constexpr clock_ms drainPeriod{ 200 };
-constexpr clock_ms announceTimeout{ 1'000 };
+namespace
+{
+constexpr clock_ms announcePeriod{1'000};
+constexpr clock_ms drainPeriod{200};
+constexpr clock_ms announceTimeout{1'000};
 constexpr unsigned statusOk = 200;
 } // namespace
 
@@ -21,7 +23,12 @@
     , m_worker(context, settings)
     , m_announcer(context)
     , m_timer(context)
-    , m_server(context, address, [this](const std::shared_ptr<http_exchange> &exchange) { handle(exchange); }, { connectCost, settings.connections })
+    , m_server(context,
+               address,
+               [this](const std::shared_ptr<http_exchange> &exchange) {
+                   handle(exchange);
+               },
+               {connectCost, settings.connections})
 {
     announce();
 }
@@ -52,7 +59,7 @@
 void backend_server::handleHints(const std::shared_ptr<http_exchange> &exchange)
 {
     http_message answer;
-    answer.body = boost::json::serialize(boost::json::object{ { "in_use", m_hintedInUse }, { "slots", m_settings.slots } });
+    answer.body = boost::json::serialize(boost::json::object{{"in_use", m_hintedInUse}, {"slots", m_settings.slots}});
     exchange->answer(answer);
 }
 
@@ -61,20 +68,22 @@
     m_hintedInUse = m_worker.inUse();
     m_saidDraining = m_drained != nullptr;
     if (m_settings.localAddress.empty()) {
-        announced({ http_failure::connect_failed, {} });
+        announced({http_failure::connect_failed, {}});
         return;
     }
-    const boost::json::object body{ { "service", m_settings.service },
-                                    { "address", m_server.address() },
-                                    { "slots", m_settings.slots },
-                                    { "connections", m_settings.connections },
-                                    { "state", m_drained ? "draining" : "serving" } };
+    const boost::json::object body{{"service", m_settings.service},
+                                   {"address", m_server.address()},
+                                   {"slots", m_settings.slots},
+                                   {"connections", m_settings.connections},
+                                   {"state", m_drained ? "draining" : "serving"}};
     http_message request;
     request.method = "POST";
     request.target = "/cicadamux/announce";
-    request.headers = { { "content-type", "application/json" } };
+    request.headers = {{"content-type", "application/json"}};
     request.body = boost::json::serialize(body);
-    m_announcer.send(m_settings.localAddress, request, announceTimeout, [this](const http_reply &reply) { announced(reply); });
+    m_announcer.send(m_settings.localAddress, request, announceTimeout, [this](const http_reply &reply) {
+        announced(reply);
+    });
 }
 
 void backend_server::announced(const http_reply &reply)
@@ -96,7 +105,9 @@
 {
     const clock_ms period = m_drained ? drainPeriod : announcePeriod;
     m_timer.expires_after(std::chrono::milliseconds(period.count));
-    m_timer.async_wait([this](boost::system::error_code) { announce(); });
+    m_timer.async_wait([this](boost::system::error_code) {
+        announce();
+    });
 }
 
 void backend_server::drain(std::function<void()> drained)
--- a/tests/standin/backend_standin_server.h
+++ b/tests/standin/backend_standin_server.h
@@ -13,7 +13,8 @@
 #include <memory>
 #include <string>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /**
  * Serves work, announces itself, drains. At /control: `POST` {"fault": NAME, "ratio", "count", "factor",
--- a/tests/standin/backend_standin_type.h
+++ b/tests/standin/backend_standin_type.h
@@ -11,7 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** One call that an operation makes. */
 struct next_call {
@@ -28,7 +29,7 @@
     clock_ms coldFor; ///< Time after the start in which the own work takes coldFactor as long.
     bool honoursDeadline = false; ///< Drops queued work whose cicadamux-deadline-ms has passed.
     std::uint32_t retries = 0; ///< Further attempts of each of its own calls.
-    clock_ms callTimeout{ 1'000 }; ///< For one attempt.
+    clock_ms callTimeout{1'000}; ///< For one attempt.
     std::map<std::string, std::vector<next_call>> calls; ///< By operation; made one after the other.
     std::map<std::string, std::vector<std::string>> direct; ///< Addresses by service, to call them without a daemon.
 };
@@ -46,9 +47,8 @@
     count ///< Number of faults; names none.
 };
 
-constexpr std::array<const char *, static_cast<std::size_t>(backend_fault::count)> backendFaultNames{ "slow",        "fail",          "shed",
-                                                                                                      "half_answer", "double_answer", "late_answer",
-                                                                                                      "no_answer",   "wrong_length" };
+constexpr std::array<const char *, static_cast<std::size_t>(backend_fault::count)> backendFaultNames{
+    "slow", "fail", "shed", "half_answer", "double_answer", "late_answer", "no_answer", "wrong_length"};
 
 /** One fault in force. */
 struct fault_state {
--- a/tests/standin/backend_standin_worker.cpp
+++ b/tests/standin/backend_standin_worker.cpp
@@ -7,9 +7,11 @@
 
 #include <algorithm>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr double coldFactor = 3; ///< How much longer the own work takes while cold.
 constexpr unsigned statusFailed = 500;
 constexpr unsigned statusNextFailed = 502;
@@ -56,7 +58,7 @@
     item->callContext = headerOf(request, "cicadamux-context");
     const auto deadline = parseNumber(headerOf(request, "cicadamux-deadline-ms"));
     if (m_settings.honoursDeadline && deadline) {
-        item->deadline = steadyNow() + clock_ms{ *deadline };
+        item->deadline = steadyNow() + clock_ms{*deadline};
     }
     if (!item->call.empty()) {
         m_byCall[item->call] = item;
@@ -64,7 +66,7 @@
     if (hits(backend_fault::shed)) {
         ++m_counters.shed;
         m_byCall.erase(item->call);
-        exchange->answer({ {}, {}, statusUnavailable, { { "cicadamux-shed", "1" }, { "cicadamux-call", item->call } }, formatPayload(item->id) });
+        exchange->answer({{}, {}, statusUnavailable, {{"cicadamux-shed", "1"}, {"cicadamux-call", item->call}}, formatPayload(item->id)});
         return;
     }
     m_queue.push_back(item);
@@ -98,7 +100,9 @@
     }
     item->isRunning = true;
     item->timer.expires_after(serviceTime());
-    item->timer.async_wait([this, item](boost::system::error_code) { makeNextCall(item); });
+    item->timer.async_wait([this, item](boost::system::error_code) {
+        makeNextCall(item);
+    });
 }
 
 void backend_worker::makeNextCall(const work_pointer &item)
@@ -127,7 +131,9 @@
         return;
     }
     item->timer.expires_after(std::chrono::milliseconds(fault(backend_fault::late_answer).delay.count));
-    item->timer.async_wait([this, item, ok](boost::system::error_code) { respond(item, ok); });
+    item->timer.async_wait([this, item, ok](boost::system::error_code) {
+        respond(item, ok);
+    });
 }
 
 void backend_worker::respond(const work_pointer &item, bool ok)
@@ -145,7 +151,7 @@
     } else if (!ok) {
         answer.status = statusNextFailed;
     }
-    answer.headers = { { "content-type", "application/json" }, { "cicadamux-call", item->call } };
+    answer.headers = {{"content-type", "application/json"}, {"cicadamux-call", item->call}};
     answer.body = R"({"id":")" + item->id + R"(","run":)" + std::to_string(item->run) + R"(,"service":")" + m_settings.service + R"("})";
     m_counters.answered += isFailed || !ok ? 0 : 1;
     m_counters.failed += isFailed || !ok ? 1 : 0;
--- a/tests/standin/backend_standin_worker.h
+++ b/tests/standin/backend_standin_worker.h
@@ -14,7 +14,8 @@
 #include <random>
 #include <unordered_map>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** Runs requests: at most `slots` at a time, the others wait in the order of arrival. Single-threaded. */
 class backend_worker
@@ -62,7 +63,7 @@
     backend_counters m_counters;
     backend_caller m_caller;
     backend_faults m_faults{};
-    std::mt19937_64 m_random{ std::random_device{}() };
+    std::mt19937_64 m_random{std::random_device{}()};
     std::deque<work_pointer> m_queue;
     std::unordered_map<std::string, work_pointer> m_byCall; ///< Unfinished work by its cicadamux-call.
     std::uint32_t m_inUse = 0;
--- a/tests/standin/platform_standin_api.cpp
+++ b/tests/standin/platform_standin_api.cpp
@@ -10,9 +10,11 @@
 
 #include <algorithm>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
@@ -22,7 +24,7 @@
 
 boost::json::object toJson(const platform_object &object)
 {
-    return { { "kind", object.kind }, { "name", object.name }, { "version", object.version }, { "value", boost::json::parse(object.value) } };
+    return {{"kind", object.kind}, {"name", object.name}, {"version", object.version}, {"value", boost::json::parse(object.value)}};
 }
 
 boost::json::object toJson(const platform_changes &changes)
@@ -35,7 +37,7 @@
     for (const std::string &name : changes.deleted) {
         deleted.emplace_back(name);
     }
-    return { { "cursor", changes.cursor }, { "items", std::move(items) }, { "deleted", std::move(deleted) } };
+    return {{"cursor", changes.cursor}, {"items", std::move(items)}, {"deleted", std::move(deleted)}};
 }
 
 bool isJson(const std::string &text)
@@ -68,7 +70,7 @@
     const bool isObjects = target.path.size() >= 2 && target.path[0] == "objects";
     if (target.path.size() == 2 && target.path[0] == "watch" && request.method == "GET") {
         const auto cursor = static_cast<std::uint64_t>(numberOf(target, "cursor", 0));
-        const clock_ms wait{ std::clamp<std::int64_t>(numberOf(target, "wait_ms", 0), 0, maxWatchWait) };
+        const clock_ms wait{std::clamp<std::int64_t>(numberOf(target, "wait_ms", 0), 0, maxWatchWait)};
         handleWatch(exchange, target.path[1], cursor, wait);
     } else if (isObjects && request.method == "GET") {
         handleRead(exchange, target.path[1], target.path.size() > 2 ? target.path[2] : std::string());
@@ -112,7 +114,7 @@
     const write_result result = request.method == "PUT" ? m_store.put(kind, name, request.body, version) : m_store.remove(kind, name, version);
     if (result.status != statusOk) {
         ++m_counters.conflicts;
-        respond(exchange, result.status, { { "version", result.version } });
+        respond(exchange, result.status, {{"version", result.version}});
         return;
     }
     wakeWatches();
@@ -121,7 +123,7 @@
         exchange->close();
         return;
     }
-    respond(exchange, result.status, { { "version", result.version } });
+    respond(exchange, result.status, {{"version", result.version}});
 }
 
 void platform_api::handleWatch(const std::shared_ptr<http_exchange> &exchange, const std::string &kind, std::uint64_t cursor, clock_ms wait)
@@ -137,7 +139,7 @@
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(wait.count));
-    m_watches.push_back({ exchange, kind, cursor, timer });
+    m_watches.push_back({exchange, kind, cursor, timer});
     const auto watch = std::prev(m_watches.end());
     timer->async_wait([this, watch, timer](boost::system::error_code failure) {
         if (!failure) {
@@ -183,7 +185,7 @@
 {
     http_message answer;
     answer.status = status;
-    answer.headers.push_back({ "content-type", "application/json" });
+    answer.headers.push_back({"content-type", "application/json"});
     answer.body = boost::json::serialize(body);
     clock_ms delay;
     if (steadyNow() < m_faults.slowUntil) {
@@ -198,7 +200,9 @@
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(delay.count));
-    timer->async_wait([this, exchange, answer, timer](boost::system::error_code) { send(exchange, answer); });
+    timer->async_wait([this, exchange, answer, timer](boost::system::error_code) {
+        send(exchange, answer);
+    });
 }
 
 void platform_api::send(const std::shared_ptr<http_exchange> &exchange, const http_message &answer)
@@ -214,7 +218,7 @@
 
 void platform_api::countCall()
 {
-    constexpr clock_ms second{ 1'000 };
+    constexpr clock_ms second{1'000};
     const clock_ms now = steadyNow();
     if (now - m_second >= second) {
         m_second = now;
--- a/tests/standin/platform_standin_api.h
+++ b/tests/standin/platform_standin_api.h
@@ -11,7 +11,8 @@
 #include <list>
 #include <memory>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** Faults in force. All end by the `clear` command, those with an instant also by themselves. */
 struct platform_faults {
--- a/tests/standin/platform_standin_control.cpp
+++ b/tests/standin/platform_standin_control.cpp
@@ -5,10 +5,12 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
-constexpr clock_ms untilCleared{ 86'400'000 }; ///< A fault without for_ms lasts a day, if it isn't cleared.
+namespace
+{
+constexpr clock_ms untilCleared{86'400'000}; ///< A fault without for_ms lasts a day, if it isn't cleared.
 constexpr unsigned statusBadRequest = 400;
 
 std::int64_t numberIn(const boost::json::object &command, std::string_view key, std::int64_t otherwise)
@@ -32,7 +34,7 @@
         }
         applyFault(command.as_object());
     }
-    answer.headers.push_back({ "content-type", "application/json" });
+    answer.headers.push_back({"content-type", "application/json"});
     answer.body = boost::json::serialize(counters());
     exchange->answer(answer);
 }
@@ -40,9 +42,9 @@
 void platform_api::applyFault(const boost::json::object &command)
 {
     const auto &name = command.at("fault").as_string();
-    const clock_ms until = steadyNow() + clock_ms{ numberIn(command, "for_ms", untilCleared.count) };
+    const clock_ms until = steadyNow() + clock_ms{numberIn(command, "for_ms", untilCleared.count)};
     const auto count = static_cast<std::uint32_t>(numberIn(command, "count", 1));
-    const clock_ms delay{ numberIn(command, "delay_ms", 1'000) };
+    const clock_ms delay{numberIn(command, "delay_ms", 1'000)};
     if (name == "down") {
         m_faults.downUntil = until;
         closeWatches();
@@ -73,16 +75,16 @@
 
 boost::json::object platform_api::counters() const
 {
-    return { { "gets", m_counters.gets },
-             { "lists", m_counters.lists },
-             { "watches", m_counters.watches },
-             { "writes", m_counters.writes },
-             { "conflicts", m_counters.conflicts },
-             { "closed", m_counters.closed },
-             { "calls", m_counters.gets + m_counters.lists + m_counters.watches + m_counters.writes },
-             { "reads", m_counters.gets + m_counters.lists + m_counters.watches },
-             { "max_per_second", m_counters.maxPerSecond },
-             { "waiting_watches", m_watches.size() } };
+    return {{"gets", m_counters.gets},
+            {"lists", m_counters.lists},
+            {"watches", m_counters.watches},
+            {"writes", m_counters.writes},
+            {"conflicts", m_counters.conflicts},
+            {"closed", m_counters.closed},
+            {"calls", m_counters.gets + m_counters.lists + m_counters.watches + m_counters.writes},
+            {"reads", m_counters.gets + m_counters.lists + m_counters.watches},
+            {"max_per_second", m_counters.maxPerSecond},
+            {"waiting_watches", m_watches.size()}};
 }
 
 } // namespace cicadamux::test
--- a/tests/standin/platform_standin_main.cpp
+++ b/tests/standin/platform_standin_main.cpp
@@ -22,8 +22,12 @@
     try {
         boost::asio::io_context context(1);
         platform_api api(context);
-        http_server server(context, absl::GetFlag(FLAGS_address), [&](const std::shared_ptr<http_exchange> &exchange) { api.handle(exchange); });
-        onStopSignal(context, [&] { context.stop(); });
+        http_server server(context, absl::GetFlag(FLAGS_address), [&](const std::shared_ptr<http_exchange> &exchange) {
+            api.handle(exchange);
+        });
+        onStopSignal(context, [&] {
+            context.stop();
+        });
         printReady(server.address());
         context.run();
         return 0;
--- a/tests/standin/platform_standin_store.cpp
+++ b/tests/standin/platform_standin_store.cpp
@@ -4,9 +4,11 @@
 
 #include <set>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t maxChanges = 10'000; ///< Entries of the change log.
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
@@ -31,25 +33,25 @@
     const auto existing = get(kind, name);
     const std::uint64_t version = existing ? existing->version : 0;
     if (version != ifVersion) {
-        return { statusConflict, version };
+        return {statusConflict, version};
     }
-    m_objects[kind][name] = { kind, name, version + 1, std::move(value) };
+    m_objects[kind][name] = {kind, name, version + 1, std::move(value)};
     noteChange(kind, name);
-    return { statusOk, version + 1 };
+    return {statusOk, version + 1};
 }
 
 write_result platform_store::remove(const std::string &kind, const std::string &name, std::uint64_t ifVersion)
 {
     const auto existing = get(kind, name);
     if (!existing) {
-        return { statusNotFound, 0 };
+        return {statusNotFound, 0};
     }
     if (existing->version != ifVersion) {
-        return { statusConflict, existing->version };
+        return {statusConflict, existing->version};
     }
     m_objects[kind].erase(name);
     noteChange(kind, name);
-    return { statusOk, existing->version };
+    return {statusOk, existing->version};
 }
 
 platform_changes platform_store::list(const std::string &kind) const
@@ -98,7 +100,7 @@
 
 void platform_store::noteChange(const std::string &kind, const std::string &name)
 {
-    m_changes.push_back({ ++m_cursor, kind, name });
+    m_changes.push_back({++m_cursor, kind, name});
     if (m_changes.size() > maxChanges) {
         m_oldest = m_changes.front().cursor;
         m_changes.pop_front();
--- a/tests/standin/platform_standin_store.h
+++ b/tests/standin/platform_standin_store.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** How a write ended. */
 struct write_result {
--- a/tests/support/address.cpp
+++ b/tests/support/address.cpp
@@ -12,12 +12,14 @@
 #include <mutex>
 #include <set>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 using boost::asio::ip::tcp;
 using boost::asio::ip::udp;
 
-namespace {
+namespace
+{
 constexpr std::uint16_t lowestPort = 12'000;
 constexpr std::uint16_t portRange = 20'000; ///< Ends below 32768, where Linux's ephemeral ports begin.
 constexpr int maxTries = 1'000;
@@ -30,12 +32,12 @@
     udp::socket socket(context);
     const auto loopback = boost::asio::ip::address_v4::loopback();
     acceptor.open(tcp::v4(), failure);
-    acceptor.bind({ loopback, port }, failure);
+    acceptor.bind({loopback, port}, failure);
     if (failure) {
         return false;
     }
     socket.open(udp::v4(), failure);
-    socket.bind({ loopback, port }, failure);
+    socket.bind({loopback, port}, failure);
     return !failure;
 }
 
@@ -57,7 +59,7 @@
         const auto parsed = std::from_chars(text.data(), text.data() + text.size(), port);
         const auto ip = boost::asio::ip::make_address(std::string(address.substr(0, colon)), failure);
         if (!failure && parsed.ec == std::errc() && parsed.ptr == text.data() + text.size()) {
-            return { ip, port };
+            return {ip, port};
         }
     }
     throw error("not an IP:port address: " + std::string(address));
--- a/tests/support/address_func.h
+++ b/tests/support/address_func.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /**
  * Parses `IP:port`.
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -15,11 +15,13 @@
 #include <filesystem>
 #include <iostream>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
-constexpr clock_ms controlTimeout{ 5'000 };
-constexpr clock_ms stopTimeout{ 40'000 };
+namespace
+{
+constexpr clock_ms controlTimeout{5'000};
+constexpr clock_ms stopTimeout{40'000};
 constexpr unsigned statusOk = 200;
 
 std::string makeFolder()
@@ -96,7 +98,9 @@
 {
     const auto parsed = boost::json::parse(policy);
     const auto &name = parsed.at("service").as_string();
-    return std::any_of(options.services.begin(), options.services.end(), [&](const fleet_service &service) { return name == service.name; });
+    return std::any_of(options.services.begin(), options.services.end(), [&](const fleet_service &service) {
+        return name == service.name;
+    });
 }
 
 void test_fleet::state::makeHosts()
@@ -125,7 +129,7 @@
 void test_fleet::state::startPlatform()
 {
     platformAddress = freeAddress();
-    platform.emplace(process_options{ programPath("platform_standin"), { "--address=" + platformAddress }, folder + "/platform.log" });
+    platform.emplace(process_options{programPath("platform_standin"), {"--address=" + platformAddress}, folder + "/platform.log"});
     platform->waitForLine("ready", options.readyTimeout);
 }
 
@@ -256,7 +260,7 @@
         version = parseObject(present, m_state->platformAddress).at("version").to_number<std::uint64_t>();
     }
     http_message request = makeRequest("PUT", target, value);
-    request.headers = { { "if-version", std::to_string(version) } };
+    request.headers = {{"if-version", std::to_string(version)}};
     const http_reply written = callHttp(m_state->platformAddress, request, controlTimeout);
     if (written.failure != http_failure::none || written.message.status != statusOk) {
         throw process_error("the platform refused " + target + ": " + written.message.body);
@@ -266,11 +270,11 @@
 http_reply test_fleet::call(const std::string &address, std::string_view service, std::string_view operation, std::string_view id, clock_ms timeout) const
 {
     http_message request = makeRequest("POST", "/" + std::string(operation), formatPayload(id));
-    request.headers = { { "content-type", "application/json" },
-                        { "cicadamux-service", std::string(service) },
-                        { "cicadamux-operation", std::string(operation) },
-                        { "cicadamux-deadline-ms", std::to_string(timeout.count) } };
-    return callHttp(address, request, timeout + clock_ms{ 500 });
+    request.headers = {{"content-type", "application/json"},
+                       {"cicadamux-service", std::string(service)},
+                       {"cicadamux-operation", std::string(operation)},
+                       {"cicadamux-deadline-ms", std::to_string(timeout.count)}};
+    return callHttp(address, request, timeout + clock_ms{500});
 }
 
 void test_fleet::control(const std::string &address, const boost::json::object &command) const
@@ -283,7 +287,8 @@
     return parseObject(callHttp(address, makeRequest("GET", "/control"), controlTimeout), address);
 }
 
-namespace {
+namespace
+{
 /** Stops processes together, and adds those that don't end with exit code 0 to `problems`. */
 void stopAll(std::vector<std::optional<process>> &processes, std::string_view what, std::string &problems)
 {
--- a/tests/support/fleet_base.h
+++ b/tests/support/fleet_base.h
@@ -13,7 +13,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /**
  * Starts everything, waits until each daemon says that it is ready and each service can be called, and stops
--- a/tests/support/fleet_process.cpp
+++ b/tests/support/fleet_process.cpp
@@ -13,12 +13,14 @@
 #include <set>
 #include <thread>
 
-namespace cicadamux::test::detail {
+namespace cicadamux::test::detail
+{
 
-namespace {
+namespace
+{
 constexpr const char *fleetKey = "test-fleet-key-0123456789abcdef0123456789";
-constexpr clock_ms askPeriod{ 10 };
-constexpr clock_ms askTimeout{ 500 };
+constexpr clock_ms askPeriod{10};
+constexpr clock_ms askTimeout{500};
 constexpr unsigned statusOk = 200;
 
 /** Lays one object over another, also inside of nested ones. */
@@ -49,7 +51,7 @@
 
 boost::json::object addressObject(const std::string &address)
 {
-    return { { "address", address } };
+    return {{"address", address}};
 }
 
 /** @return Addresses of backend servers by service. */
@@ -68,17 +70,17 @@
 
 boost::json::object makeDaemonSettings(const fleet_host &host, const fleet_options &options, std::span<const fleet_host> hosts, const std::string &platform)
 {
-    boost::json::object settings{ { "host", host.name },
-                                  { "data_center", host.dataCenter },
-                                  { "edge", addressObject(host.edge) },
-                                  { "local", addressObject(host.local) },
-                                  { "peer", addressObject(host.peer) },
-                                  { "admin", addressObject(host.admin) },
-                                  { "seeds", seedsOf(hosts) },
-                                  { "fleet_key", fleetKey },
-                                  { "platform", addressObject(platform) } };
+    boost::json::object settings{{"host", host.name},
+                                 {"data_center", host.dataCenter},
+                                 {"edge", addressObject(host.edge)},
+                                 {"local", addressObject(host.local)},
+                                 {"peer", addressObject(host.peer)},
+                                 {"admin", addressObject(host.admin)},
+                                 {"seeds", seedsOf(hosts)},
+                                 {"fleet_key", fleetKey},
+                                 {"platform", addressObject(platform)}};
     if (options.mode == fleet_mode::no_admission) {
-        settings["gate"] = boost::json::object{ { "enabled", false } };
+        settings["gate"] = boost::json::object{{"enabled", false}};
     }
     layOver(settings, options.settings);
     return settings;
@@ -88,32 +90,33 @@
 {
     const std::string file = folder + "/" + host.name + ".json";
     std::ofstream(file) << boost::json::serialize(settings) << "\n";
-    return process({ programPath("cicadamux"), { "daemon", "--settings=" + file }, folder + "/" + host.name + ".daemon.log" });
+    return process({programPath("cicadamux"), {"daemon", "--settings=" + file}, folder + "/" + host.name + ".daemon.log"});
 }
 
 process
 startBackend(const fleet_host &host, const fleet_service &service, const fleet_options &options, std::span<const fleet_host> hosts, const std::string &folder)
 {
-    std::vector<std::string> arguments{ "--address=" + host.backend,
-                                        "--service=" + service.name,
-                                        "--slots=" + std::to_string(service.slots),
-                                        "--connections=" + std::to_string(service.connections),
-                                        "--service_ms=" + std::to_string(service.serviceMs),
-                                        "--calls=" + service.calls,
-                                        "--retries=" + std::to_string(service.retries),
-                                        "--call_timeout_ms=" + std::to_string(service.callTimeout.count) };
+    std::vector<std::string> arguments{"--address=" + host.backend,
+                                       "--service=" + service.name,
+                                       "--slots=" + std::to_string(service.slots),
+                                       "--connections=" + std::to_string(service.connections),
+                                       "--service_ms=" + std::to_string(service.serviceMs),
+                                       "--calls=" + service.calls,
+                                       "--retries=" + std::to_string(service.retries),
+                                       "--call_timeout_ms=" + std::to_string(service.callTimeout.count)};
     if (options.mode == fleet_mode::direct) {
         arguments.push_back("--direct=" + directAddresses(hosts));
     } else {
         arguments.push_back("--local=" + host.local);
     }
     arguments.insert(arguments.end(), service.arguments.begin(), service.arguments.end());
-    process started({ programPath("backend_standin"), arguments, folder + "/" + host.name + ".backend.log" });
+    process started({programPath("backend_standin"), arguments, folder + "/" + host.name + ".backend.log"});
     started.waitForLine("ready", options.readyTimeout);
     return started;
 }
 
-namespace {
+namespace
+{
 /** Sends a request until it is answered with status 200; each time with another id, so that it isn't a retry. */
 void askUntilOk(process &subject, const std::string &address, http_message request, clock_ms timeout)
 {
@@ -149,7 +152,7 @@
     request.method = "POST";
     request.target = operation.at("at_most_once").as_bool() ? "/cicadamux/ticket" : "/ready";
     request.headers
-        = { { "cicadamux-service", std::string(parsed.at("service").as_string()) }, { "cicadamux-operation", std::string(operation.at("name").as_string()) } };
+        = {{"cicadamux-service", std::string(parsed.at("service").as_string())}, {"cicadamux-operation", std::string(operation.at("name").as_string())}};
     askUntilOk(daemon, edge, request, timeout);
 }
 
--- a/tests/support/fleet_process.h
+++ b/tests/support/fleet_process.h
@@ -10,7 +10,8 @@
 #include <span>
 #include <string>
 
-namespace cicadamux::test::detail {
+namespace cicadamux::test::detail
+{
 
 /** @return The settings of one daemon, with the fleet's own laid over them. */
 boost::json::object makeDaemonSettings(const fleet_host &host, const fleet_options &options, std::span<const fleet_host> hosts, const std::string &platform);
--- a/tests/support/fleet_type.h
+++ b/tests/support/fleet_type.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** One service of a test fleet; each of its backend servers gets a host. */
 struct fleet_service {
@@ -21,7 +22,7 @@
     double serviceMs = 10;
     std::string calls = "{}"; ///< Own calls by operation: {"hold":[["feebox","charge"]]}.
     std::uint32_t retries = 0; ///< Further attempts of each own call.
-    clock_ms callTimeout{ 1'000 }; ///< For one attempt of an own call.
+    clock_ms callTimeout{1'000}; ///< For one attempt of an own call.
     std::vector<std::string> arguments; ///< Further flags of backend_standin.
 };
 
@@ -38,7 +39,7 @@
     std::string rankTable; ///< JSON of the `rank_table` object; empty: not written.
     std::vector<std::string> policies; ///< JSON of the `service_policy` objects.
     boost::json::object settings; ///< Laid over each daemon's settings, such as {"gate":{"enabled":false}}.
-    clock_ms readyTimeout{ 15'000 }; ///< For each process.
+    clock_ms readyTimeout{15'000}; ///< For each process.
 };
 
 /** One host: a backend server and its daemon. Without a daemon, its addresses are empty. */
--- a/tests/support/http_client.cpp
+++ b/tests/support/http_client.cpp
@@ -13,13 +13,15 @@
 #include <unordered_map>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 class connection;
 using connection_pointer = std::shared_ptr<connection>;
 
@@ -45,7 +47,7 @@
     message.status = response.result_int();
     message.body = std::move(response.body());
     for (const auto &field : response) {
-        message.headers.push_back({ field.name_string(), field.value() });
+        message.headers.push_back({field.name_string(), field.value()});
     }
     return message;
 }
@@ -73,7 +75,8 @@
     std::uint64_t connectionsMade = 0;
 };
 
-namespace {
+namespace
+{
 /** One connection and the call that is on it. */
 class connection : public std::enable_shared_from_this<connection>
 {
@@ -102,7 +105,7 @@
     {
         m_stream.async_connect(parseEndpoint(m_address), [self = shared_from_this()](boost::system::error_code failure) {
             if (failure) {
-                self->end({ http_failure::connect_failed, {} });
+                self->end({http_failure::connect_failed, {}});
                 return;
             }
             boost::system::error_code ignored;
@@ -116,7 +119,7 @@
     {
         http::async_write(m_stream, m_request, [self = shared_from_this()](boost::system::error_code failure, std::size_t) {
             if (failure) {
-                self->end({ failureOf(failure), {} });
+                self->end({failureOf(failure), {}});
             } else {
                 self->read();
             }
@@ -128,7 +131,7 @@
         m_parser.emplace();
         http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code failure, std::size_t) {
             if (failure) {
-                self->end({ failureOf(failure), {} });
+                self->end({failureOf(failure), {}});
             } else {
                 self->answered();
             }
@@ -138,7 +141,7 @@
     void answered()
     {
         const bool isReusable = m_parser->keep_alive() && m_buffer.size() == 0;
-        http_reply reply{ http_failure::none, makeMessage(m_parser->release()) };
+        http_reply reply{http_failure::none, makeMessage(m_parser->release())};
         m_stream.expires_never();
         auto owner = m_owner.lock();
         if (isReusable && owner) {
@@ -197,7 +200,9 @@
     boost::asio::io_context context;
     http_client client(context);
     http_reply result;
-    client.send(address, request, timeout, [&](http_reply reply) { result = std::move(reply); });
+    client.send(address, request, timeout, [&](http_reply reply) {
+        result = std::move(reply);
+    });
     context.run();
     return result;
 }
--- a/tests/support/http_message.cpp
+++ b/tests/support/http_message.cpp
@@ -4,7 +4,8 @@
 
 #include <boost/beast/core/string.hpp>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 std::string_view headerOf(const http_message &message, std::string_view name)
 {
--- a/tests/support/http_message_type.h
+++ b/tests/support/http_message_type.h
@@ -9,7 +9,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** A request (method and target) or an answer (status). */
 struct http_message {
--- a/tests/support/http_server.cpp
+++ b/tests/support/http_server.cpp
@@ -14,12 +14,14 @@
 #include <set>
 #include <sstream>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 constexpr std::uint64_t maxBody = 4'000'000; ///< Bytes of a request's body.
 
 class session;
@@ -45,7 +47,8 @@
     std::set<session *> sessions;
 };
 
-namespace {
+namespace
+{
 /** One connection: reads a request, waits for its answer, reads the next. */
 class session : public std::enable_shared_from_this<session>
 {
@@ -72,7 +75,9 @@
             return;
         }
         auto timer = std::make_shared<boost::asio::steady_timer>(m_server->context, std::chrono::milliseconds(m_server->options.connectCost.count));
-        timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) { self->read(); });
+        timer->async_wait([self = shared_from_this(), timer](boost::system::error_code) {
+            self->read();
+        });
     }
 
     void write(std::string bytes, bool closeAfter)
@@ -165,7 +170,7 @@
     message.target = parsed.target();
     message.body = std::move(parsed.body());
     for (const auto &field : parsed) {
-        message.headers.push_back({ field.name_string(), field.value() });
+        message.headers.push_back({field.name_string(), field.value()});
     }
     m_server->handler(std::make_shared<session_exchange>(shared_from_this(), std::move(message)));
 }
--- a/tests/support/http_server_base.h
+++ b/tests/support/http_server_base.h
@@ -10,9 +10,11 @@
 #include <memory>
 #include <string>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace detail {
+namespace detail
+{
 struct http_server_state;
 }
 
--- a/tests/support/invariant_guard_type.h
+++ b/tests/support/invariant_guard_type.h
@@ -7,7 +7,8 @@
 
 #include <string>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** While it lives, a violated invariant throws in the thread that checks it. */
 class invariant_guard
@@ -15,7 +16,9 @@
 public:
     invariant_guard()
     {
-        setInvariantHook([](invariant which, std::string_view detail) { throw invariant_error(std::string(toString(which)) + ": " + std::string(detail)); });
+        setInvariantHook([](invariant which, std::string_view detail) {
+            throw invariant_error(std::string(toString(which)) + ": " + std::string(detail));
+        });
     }
 
     ~invariant_guard()
--- a/tests/support/io_threads_base.h
+++ b/tests/support/io_threads_base.h
@@ -7,15 +7,20 @@
 
 #include <thread>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 class io_threads
 {
 public:
     io_threads()
         : m_work(boost::asio::make_work_guard(context))
-        , m_first([this] { context.run(); })
-        , m_second([this] { context.run(); })
+        , m_first([this] {
+            context.run();
+        })
+        , m_second([this] {
+            context.run();
+        })
     {
     }
 
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -10,15 +10,17 @@
 #include <random>
 #include <thread>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 using detail::load_clock;
 using detail::load_end;
 using detail::load_request;
 using detail::load_request_pointer;
 
-namespace {
-constexpr std::chrono::milliseconds sendStep{ 1 }; ///< Arrivals due in one step are sent together.
+namespace
+{
+constexpr std::chrono::milliseconds sendStep{1}; ///< Arrivals due in one step are sent together.
 constexpr std::size_t maxIds = 300'000; ///< Ids kept for each label and thread.
 
 /** One thread's share of the load. */
@@ -65,7 +67,7 @@
     const load_options &m_options;
     std::uint32_t m_number;
     std::mt19937_64 m_random;
-    boost::asio::io_context m_context{ 1 };
+    boost::asio::io_context m_context{1};
     http_client m_client;
     boost::asio::steady_timer m_timer;
     load_clock::time_point m_start;
@@ -90,7 +92,9 @@
         return;
     }
     m_timer.expires_after(sendStep);
-    m_timer.async_wait([this](boost::system::error_code) { step(); });
+    m_timer.async_wait([this](boost::system::error_code) {
+        step();
+    });
 }
 
 void load_thread::send(const load_operation &operation, load_clock::time_point arrival)
@@ -111,7 +115,9 @@
     if (operation.atMostOnce && count.sentIds.size() < maxIds) {
         count.sentIds.push_back(request->id);
     }
-    detail::sendLoadRequest(m_client, request, m_options.useTickets, [this](const load_request_pointer &sent) { ended(*sent); });
+    detail::sendLoadRequest(m_client, request, m_options.useTickets, [this](const load_request_pointer &sent) {
+        ended(*sent);
+    });
 }
 
 void load_thread::ended(const load_request &request)
@@ -162,7 +168,9 @@
             parts.push_back(std::make_unique<load_thread>(options, number));
         }
         for (const auto &part : parts) {
-            threads.emplace_back([&part] { part->run(); });
+            threads.emplace_back([&part] {
+                part->run();
+            });
         }
     }
 
--- a/tests/support/load_base.h
+++ b/tests/support/load_base.h
@@ -6,7 +6,8 @@
 
 #include <memory>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** Sends a mix of requests at fixed mean rates, on threads of its own, and checks each answer's id. */
 class load_run
--- a/tests/support/load_request.cpp
+++ b/tests/support/load_request.cpp
@@ -4,9 +4,11 @@
 
 #include "support/payload_func.h"
 
-namespace cicadamux::test::detail {
+namespace cicadamux::test::detail
+{
 
-namespace {
+namespace
+{
 constexpr unsigned statusOk = 200;
 constexpr std::int64_t answerGrace = 200; ///< Milliseconds that a daemon gets beyond the deadline to say how it ended.
 
@@ -42,10 +44,10 @@
         http_message message;
         message.method = "POST";
         message.target = target;
-        message.headers = { { "content-type", "application/json" },
-                            { "cicadamux-service", m_request->operation->service },
-                            { "cicadamux-operation", m_request->operation->operation },
-                            { "cicadamux-deadline-ms", std::to_string(std::max<std::int64_t>(restMs(), 1)) } };
+        message.headers = {{"content-type", "application/json"},
+                           {"cicadamux-service", m_request->operation->service},
+                           {"cicadamux-operation", m_request->operation->operation},
+                           {"cicadamux-deadline-ms", std::to_string(std::max<std::int64_t>(restMs(), 1))}};
         message.body = body;
         return message;
     }
@@ -63,7 +65,7 @@
 
 void load_attempt::takeTicket()
 {
-    const clock_ms timeout{ std::max<std::int64_t>(restMs(), 1) };
+    const clock_ms timeout{std::max<std::int64_t>(restMs(), 1)};
     m_client.send(m_request->address, makeMessage("/cicadamux/ticket", {}), timeout, [self = shared_from_this()](const http_reply &reply) {
         constexpr std::string_view key = R"("ticket":")";
         const auto start = reply.message.body.find(key);
@@ -83,10 +85,12 @@
     ++m_request->attempts;
     http_message message = makeMessage("/" + m_request->operation->operation, formatPayload(m_request->id));
     if (!m_request->ticket.empty()) {
-        message.headers.push_back({ "cicadamux-ticket", m_request->ticket });
+        message.headers.push_back({"cicadamux-ticket", m_request->ticket});
     }
-    const clock_ms timeout{ std::max<std::int64_t>(restMs(), 1) + answerGrace };
-    m_client.send(m_request->address, message, timeout, [self = shared_from_this()](const http_reply &reply) { self->answered(reply); });
+    const clock_ms timeout{std::max<std::int64_t>(restMs(), 1) + answerGrace};
+    m_client.send(m_request->address, message, timeout, [self = shared_from_this()](const http_reply &reply) {
+        self->answered(reply);
+    });
 }
 
 void load_attempt::answered(const http_reply &reply)
--- a/tests/support/load_request.h
+++ b/tests/support/load_request.h
@@ -9,7 +9,8 @@
 #include <memory>
 #include <string>
 
-namespace cicadamux::test::detail {
+namespace cicadamux::test::detail
+{
 
 using load_clock = std::chrono::steady_clock; ///< Latencies are below the resolution of clock_ms.
 
--- a/tests/support/load_result.cpp
+++ b/tests/support/load_result.cpp
@@ -4,7 +4,8 @@
 
 #include <algorithm>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 void load_count::add(const load_count &other)
 {
--- a/tests/support/load_type.h
+++ b/tests/support/load_type.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** One kind of request in the mix. */
 struct load_operation {
@@ -17,7 +18,7 @@
     std::string operation;
     std::string label; ///< Results are counted under it, such as the policy's class.
     double perSecond = 0; ///< Mean rate of arrivals, which don't wait for answers.
-    clock_ms deadline{ 1'000 }; ///< For the whole request with its retries.
+    clock_ms deadline{1'000}; ///< For the whole request with its retries.
     std::uint32_t retries = 0; ///< Further attempts of the client, at once.
     bool atMostOnce = false; ///< Takes a ticket first, and repeats with the same one.
 };
@@ -25,8 +26,8 @@
 struct load_options {
     std::vector<load_operation> operations;
     std::map<std::string, std::vector<std::string>> entries; ///< Addresses by service, used in turn.
-    clock_ms duration{ 10'000 };
-    clock_ms seriesStep{ 100 }; ///< Width of one value of the goodput series.
+    clock_ms duration{10'000};
+    clock_ms seriesStep{100}; ///< Width of one value of the goodput series.
     std::uint32_t threads = 2;
     std::size_t maxInFlight = 4'000; ///< For each thread; arrivals beyond it aren't sent.
     bool useTickets = true; ///< False without daemons: at-most-once requests are then simply repeated.
--- a/tests/support/membership_network.cpp
+++ b/tests/support/membership_network.cpp
@@ -6,13 +6,15 @@
 
 #include <algorithm>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
-constexpr clock_ms step{ 10 };
-constexpr clock_ms tickPeriod{ 50 };
-constexpr clock_ms remotePeriod{ 1'000 };
-constexpr clock_ms localPeriod{ 5'000 };
+namespace
+{
+constexpr clock_ms step{10};
+constexpr clock_ms tickPeriod{50};
+constexpr clock_ms remotePeriod{1'000};
+constexpr clock_ms localPeriod{5'000};
 constexpr std::int64_t greatestLateness = 20'000; // Milliseconds.
 std::string describe(const std::string &host, const std::string &otherHost, const std::optional<member_record> &held, bool runs)
 {
@@ -37,7 +39,7 @@
     node.dataCenter = dataCenter;
     node.isRunning = true;
     node.pausedUntil = now;
-    node.nextTick = now + clock_ms{ static_cast<std::int64_t>(m_engine() % 50) };
+    node.nextTick = now + clock_ms{static_cast<std::int64_t>(m_engine() % 50)};
     node.nextCompare = node.nextTick;
     ++node.lives;
     node.hasJoined = false;
@@ -47,15 +49,21 @@
     self.peerAddress = host;
     self.incarnation.value = static_cast<std::uint64_t>(now.count);
     member_hooks hooks;
-    hooks.send = [this, host](std::string_view to, const std::string &bytes) { send(host, to, bytes); };
-    hooks.exchange = [this, host](std::string_view to) { m_queue.emplace(now + step, datagram{ host, std::string(to), {} }); };
+    hooks.send = [this, host](std::string_view to, const std::string &bytes) {
+        send(host, to, bytes);
+    };
+    hooks.exchange = [this, host](std::string_view to) {
+        m_queue.emplace(now + step, datagram{host, std::string(to), {}});
+    };
     hooks.changeAnnounced = [this, &node](std::string_view, const change_announcement &change) {
         if (changeHeard) {
             changeHeard(node, change);
         }
     };
-    node.table = std::make_unique<member_table>(settings, self, hooks, [engine = std::make_shared<std::mt19937_64>(m_engine())] { return (*engine)(); });
-    const std::vector<std::string> seeds{ nodes.begin()->first };
+    node.table = std::make_unique<member_table>(settings, self, hooks, [engine = std::make_shared<std::mt19937_64>(m_engine())] {
+        return (*engine)();
+    });
+    const std::vector<std::string> seeds{nodes.begin()->first};
     node.table->addSeeds(seeds);
     return node;
 }
@@ -95,12 +103,12 @@
         return;
     }
     if (share() < faults.lateness) {
-        m_queue.emplace(now + clock_ms{ static_cast<std::int64_t>(m_engine() % greatestLateness) }, datagram{ from, std::string(to), bytes });
+        m_queue.emplace(now + clock_ms{static_cast<std::int64_t>(m_engine() % greatestLateness)}, datagram{from, std::string(to), bytes});
     }
     const int copies = share() < faults.duplication ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
-        const clock_ms delay{ 1 + static_cast<std::int64_t>(m_engine() % static_cast<std::uint64_t>(faults.delay)) };
-        m_queue.emplace(now + delay, datagram{ from, std::string(to), bytes });
+        const clock_ms delay{1 + static_cast<std::int64_t>(m_engine() % static_cast<std::uint64_t>(faults.delay))};
+        m_queue.emplace(now + delay, datagram{from, std::string(to), bytes});
     }
 }
 
@@ -133,7 +141,7 @@
         return;
     }
     node.hasJoined = found->second.dataCenter == node.dataCenter;
-    const std::vector<member_record> own{ node.table->self() };
+    const std::vector<member_record> own{node.table->self()};
     found->second.table->merge(own, now);
     const std::vector<member_record> records = found->second.table->records();
     node.bytesCompared += sizeOf(own);
@@ -168,15 +176,15 @@
         return;
     }
     const bool takesAll = dataCenter == node.dataCenter || node.table->holdsDuty(digestDuty, digestHolders);
-    const member_filter filter{ dataCenter, takesAll ? std::vector<std::string>{} : settings.interests };
+    const member_filter filter{dataCenter, takesAll ? std::vector<std::string>{} : settings.interests};
     const auto own = node.table->digests(filter, memberBuckets);
     const auto theirs = found->second.table->digests(filter, memberBuckets);
     std::uint64_t buckets = 0;
     for (std::size_t bucket = 0; bucket < memberBuckets; ++bucket) {
-        buckets |= std::uint64_t{ own[bucket] != theirs[bucket] } << bucket;
+        buckets |= std::uint64_t{own[bucket] != theirs[bucket]} << bucket;
     }
     const auto records = found->second.table->recordsOf(filter, buckets);
-    const std::vector<member_record> self{ node.table->self() };
+    const std::vector<member_record> self{node.table->self()};
     found->second.table->merge(self, now);
     node.bytesCompared += sizeOf(self) + (buckets != 0 ? memberBuckets * sizeof(std::uint64_t) : 0);
     found->second.bytesCompared += sizeOf(records);
@@ -245,7 +253,9 @@
 
 std::size_t gossip_network::count(const std::function<bool(const network_node &)> &predicate) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(nodes, [&](const auto &item) { return item.second.isRunning && predicate(item.second); }));
+    return static_cast<std::size_t>(std::ranges::count_if(nodes, [&](const auto &item) {
+        return item.second.isRunning && predicate(item.second);
+    }));
 }
 
 std::optional<member_record> seen(const network_node &by, const std::string &host)
--- a/tests/support/membership_network_base.h
+++ b/tests/support/membership_network_base.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 struct network_faults {
     double loss = 0; ///< Share of the datagrams that are lost.
@@ -68,7 +69,7 @@
     std::function<void(network_node &node, const change_announcement &change)> changeHeard;
     std::function<bool(const std::string &from, const std::string &to)> reaches; ///< Cuts; one-way ones too.
     member_settings settings;
-    clock_ms now{ 100'000 };
+    clock_ms now{100'000};
 
 private:
     struct datagram {
--- a/tests/support/payload.cpp
+++ b/tests/support/payload.cpp
@@ -2,7 +2,8 @@
 
 #include "support/payload_func.h"
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 std::string formatPayload(std::string_view id)
 {
--- a/tests/support/payload_func.h
+++ b/tests/support/payload_func.h
@@ -5,7 +5,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** @return A request's body, `{"id":"..."}`. Ids are without quotes and backslashes. */
 std::string formatPayload(std::string_view id);
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -12,10 +12,12 @@
 #include <unistd.h>
 #include <utility>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
-constexpr clock_ms pollPeriod{ 5 };
+namespace
+{
+constexpr clock_ms pollPeriod{5};
 constexpr int execFailed = 127;
 
 void closeFile(int &file)
@@ -47,13 +49,13 @@
 process::process(const process_options &options)
     : m_program(options.program)
 {
-    std::vector<char *> arguments{ m_program.data() };
+    std::vector<char *> arguments{m_program.data()};
     std::vector<std::string> copies = options.arguments;
     for (std::string &argument : copies) {
         arguments.push_back(argument.data());
     }
     arguments.push_back(nullptr);
-    int ends[2] = { -1, -1 };
+    int ends[2] = {-1, -1};
     if (::pipe2(ends, O_CLOEXEC) != 0) {
         throw process_error("no pipe for " + m_program);
     }
@@ -103,7 +105,7 @@
             }
             continue;
         }
-        pollfd ready{ m_output, POLLIN, 0 };
+        pollfd ready{m_output, POLLIN, 0};
         const clock_ms rest = end - steadyNow();
         char bytes[4096];
         const bool isReadable = rest.count > 0 && ::poll(&ready, 1, static_cast<int>(rest.count)) > 0;
--- a/tests/support/process_base.h
+++ b/tests/support/process_base.h
@@ -10,7 +10,8 @@
 #include <sys/types.h>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** A started process doesn't do what it should. */
 class process_error : public error
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -11,9 +11,11 @@
 #include <array>
 #include <stdexcept>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr int receiveTimeout = 5; // Seconds.
 
 int makeSocket()
@@ -22,7 +24,7 @@
     if (descriptor < 0) {
         throw std::runtime_error("socket() failed");
     }
-    const timeval timeout{ receiveTimeout, 0 };
+    const timeval timeout{receiveTimeout, 0};
     ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     return descriptor;
 }
@@ -56,7 +58,7 @@
 raw_socket::raw_socket(int descriptor)
     : m_descriptor(descriptor)
 {
-    const timeval timeout{ receiveTimeout, 0 };
+    const timeval timeout{receiveTimeout, 0};
     ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
 }
 
--- a/tests/support/raw_socket_base.h
+++ b/tests/support/raw_socket_base.h
@@ -8,7 +8,8 @@
 #include <string_view>
 #include <thread>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** A connection to a loopback address; each receive waits for at most a few seconds. */
 class raw_socket
--- a/tests/support/seeds.cpp
+++ b/tests/support/seeds.cpp
@@ -4,7 +4,8 @@
 
 #include <cstdlib>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 std::uint64_t seedCount(std::uint64_t usual)
 {
--- a/tests/support/seeds_func.h
+++ b/tests/support/seeds_func.h
@@ -4,7 +4,8 @@
 
 #include <cstdint>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /**
  * Number of seeds of a randomised test: `usual` times the environment's CICADAMUX_SEED_FACTOR (default 1).
--- a/tests/support/stall_fleet.cpp
+++ b/tests/support/stall_fleet.cpp
@@ -10,10 +10,12 @@
 #include <charconv>
 #include <thread>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
-constexpr clock_ms callLimit{ 10'000 };
+namespace
+{
+constexpr clock_ms callLimit{10'000};
 constexpr std::int64_t checkPeriod = 10; // Milliseconds.
 
 constexpr const char *rankTable = R"({"generation":1,"operation_id":"ranks-1","ranks":[
@@ -59,14 +61,14 @@
     fleet_options options;
     fleet_service desk;
     desk.name = "pitchdesk";
-    desk.dataCenters = { "tbs-1", "tbs-2" };
+    desk.dataCenters = {"tbs-1", "tbs-2"};
     desk.calls = R"({"pay":[["feebox","charge"]]})";
     fleet_service box;
     box.name = "feebox";
-    box.dataCenters = { "tbs-1", "tbs-2" };
-    options.services = { desk, box };
+    box.dataCenters = {"tbs-1", "tbs-2"};
+    options.services = {desk, box};
     options.rankTable = rankTable;
-    options.policies = { pitchdesk, feebox };
+    options.policies = {pitchdesk, feebox};
     return options;
 }
 
@@ -75,9 +77,9 @@
     http_message request;
     request.method = "POST";
     request.target = "/";
-    request.headers = { { "cicadamux-service", std::string(service) }, { "cicadamux-operation", std::string(operation) } };
+    request.headers = {{"cicadamux-service", std::string(service)}, {"cicadamux-operation", std::string(operation)}};
     const std::vector<http_field> optional
-        = { { "cicadamux-ticket", extras.ticket }, { "cicadamux-context", extras.context }, { "cicadamux-deadline-ms", extras.deadline } };
+        = {{"cicadamux-ticket", extras.ticket}, {"cicadamux-context", extras.context}, {"cicadamux-deadline-ms", extras.deadline}};
     for (const http_field &field : optional) {
         if (!field.value.empty()) {
             request.headers.push_back(field);
@@ -92,7 +94,7 @@
     http_message request;
     request.method = "POST";
     request.target = "/cicadamux/ticket";
-    request.headers = { { "cicadamux-service", std::string(service) }, { "cicadamux-operation", std::string(operation) } };
+    request.headers = {{"cicadamux-service", std::string(service)}, {"cicadamux-operation", std::string(operation)}};
     const http_reply reply = callHttp(address, request, callLimit);
     boost::json::error_code failure;
     const auto body = boost::json::parse(reply.message.body, failure);
--- a/tests/support/stall_fleet_func.h
+++ b/tests/support/stall_fleet_func.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <string_view>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** @return pitchdesk on hosts 0 and 1, feebox on hosts 2 and 3, one of each in either data centre. */
 fleet_options stallOptions();
--- a/tests/support/standin.cpp
+++ b/tests/support/standin.cpp
@@ -8,7 +8,8 @@
 #include <iostream>
 #include <memory>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 void printReady(const std::string &address)
 {
--- a/tests/support/standin_func.h
+++ b/tests/support/standin_func.h
@@ -7,7 +7,8 @@
 #include <functional>
 #include <string>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** Prints `ready address=IP:port`, for which process::waitForLine() waits. */
 void printReady(const std::string &address);
--- a/tests/support/target.cpp
+++ b/tests/support/target.cpp
@@ -5,7 +5,8 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 request_target splitTarget(std::string_view target)
 {
--- a/tests/support/target_func.h
+++ b/tests/support/target_func.h
@@ -9,7 +9,8 @@
 #include <string_view>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** A target such as `/watch/KIND?cursor=41`. Percent-encoding isn't decoded. */
 struct request_target {
--- a/tests/unit/admission_level_board_test.cpp
+++ b/tests/unit/admission_level_board_test.cpp
@@ -8,14 +8,15 @@
 
 using namespace cicadamux;
 
-namespace {
-constexpr rank_id lesserRank{ 2 };
-constexpr rank_id leastRank{ 3 };
-const std::vector<std::string> services = { "feebox", "pitchdesk" };
+namespace
+{
+constexpr rank_id lesserRank{2};
+constexpr rank_id leastRank{3};
+const std::vector<std::string> services = {"feebox", "pitchdesk"};
 
 heard_level heard(const std::string &host, rank_id rank, std::uint16_t subLevel, std::int64_t age = 0)
 {
-    return { "pitchdesk", host, { rank, subLevel }, clock_ms{ age } };
+    return {"pitchdesk", host, {rank, subLevel}, clock_ms{age}};
 }
 
 /** @return How many of 1000 roots are refused. */
@@ -23,7 +24,7 @@
 {
     int refused = 0;
     for (std::uint64_t root = 1; root <= 1000; ++root) {
-        refused += board.check(services, rank, root_id{ root }, isProtected, now).refused ? 1 : 0;
+        refused += board.check(services, rank, root_id{root}, isProtected, now).refused ? 1 : 0;
     }
     return refused;
 }
@@ -32,7 +33,7 @@
 TEST_CASE("lesser work is refused early only while all believed gates of a service refuse it")
 {
     level_board board;
-    const clock_ms now{ 5'000 };
+    const clock_ms now{5'000};
     CHECK(refusedRoots(board, leastRank, false, now) == 0);
     board.note(heard("a", lesserRank, subLevelCount), now);
     const int refused = refusedRoots(board, leastRank, false, now);
@@ -40,8 +41,8 @@
     CHECK(refused < 1000);
     CHECK(refusedRoots(board, lesserRank, false, now) == 0);
     CHECK(refusedRoots(board, leastRank, true, now) == 0);
-    CHECK(board.check(services, leastRank, root_id{ 1 }, false, now).service == "pitchdesk");
-    CHECK(board.check(services, leastRank, root_id{ 1 }, false, now).rankAdmitted == lesserRank.value);
+    CHECK(board.check(services, leastRank, root_id{1}, false, now).service == "pitchdesk");
+    CHECK(board.check(services, leastRank, root_id{1}, false, now).rankAdmitted == lesserRank.value);
     board.note(heard("b", leastRank, subLevelCount), now);
     CHECK(refusedRoots(board, leastRank, false, now) == 0);
 }
@@ -49,12 +50,12 @@
 TEST_CASE("a sub-level refuses the roots at and above it")
 {
     level_board board;
-    const clock_ms now{ 5'000 };
+    const clock_ms now{5'000};
     constexpr std::uint16_t half = subLevelCount / 2;
     board.note(heard("a", leastRank, half), now);
     for (std::uint64_t root = 1; root <= 1000; ++root) {
-        if (subLevelOf(root_id{ root }) < half) {
-            CHECK_FALSE(board.check(services, leastRank, root_id{ root }, false, now).refused);
+        if (subLevelOf(root_id{root}) < half) {
+            CHECK_FALSE(board.check(services, leastRank, root_id{root}, false, now).refused);
         }
     }
     const int refused = refusedRoots(board, leastRank, false, now);
@@ -65,24 +66,24 @@
 TEST_CASE("a level expires, and an older one never replaces a younger one")
 {
     level_board board;
-    const clock_ms now{ 5'000 };
+    const clock_ms now{5'000};
     board.note(heard("a", lesserRank, subLevelCount, 100), now);
     board.note(heard("a", leastRank, subLevelCount, 300), now);
     CHECK(refusedRoots(board, leastRank, false, now) > 0);
     CHECK(board.known(now, 10).size() == 1);
-    CHECK(board.known(now, 10).front().age == clock_ms{ 100 });
-    CHECK(refusedRoots(board, leastRank, false, now + clock_ms{ 1'000 }) == 0);
-    CHECK(board.known(now + clock_ms{ 1'000 }, 10).empty());
+    CHECK(board.known(now, 10).front().age == clock_ms{100});
+    CHECK(refusedRoots(board, leastRank, false, now + clock_ms{1'000}) == 0);
+    CHECK(board.known(now + clock_ms{1'000}, 10).empty());
 }
 
 TEST_CASE("the board stays bounded and passes on the youngest levels first")
 {
     level_board board;
-    const clock_ms now{ 5'000 };
+    const clock_ms now{5'000};
     for (int number = 0; number < 20'000; ++number) {
         const std::string text = std::to_string(number);
-        board.note({ "service" + text, "host", { leastRank, subLevelCount }, clock_ms{ number % 500 } }, now);
-        board.note({ "one", "host" + text, { leastRank, subLevelCount }, clock_ms{ number % 500 } }, now);
+        board.note({"service" + text, "host", {leastRank, subLevelCount}, clock_ms{number % 500}}, now);
+        board.note({"one", "host" + text, {leastRank, subLevelCount}, clock_ms{number % 500}}, now);
     }
     constexpr std::size_t bound = 1024 + 64;
     CHECK(board.known(now, 100'000).size() <= bound);
@@ -96,21 +97,21 @@
     level_board board;
     const auto work = [&board](std::uint64_t seed) {
         for (std::uint64_t number = 0; number < 20'000; ++number) {
-            const clock_ms now{ static_cast<std::int64_t>(1'000 + number) };
+            const clock_ms now{static_cast<std::int64_t>(1'000 + number)};
             const std::string text = std::to_string((number * seed) % 300);
-            board.note({ "service" + text, "host" + std::to_string(number % 70), { leastRank, 0 }, {} }, now);
-            board.check(services, leastRank, root_id{ number + 1 }, false, now);
+            board.note({"service" + text, "host" + std::to_string(number % 70), {leastRank, 0}, {}}, now);
+            board.check(services, leastRank, root_id{number + 1}, false, now);
             if (number % 100 == 0) {
                 board.known(now, 10);
             }
         }
     };
     std::vector<std::thread> threads;
-    for (const std::uint64_t seed : { 1, 3, 7, 11 }) {
+    for (const std::uint64_t seed : {1, 3, 7, 11}) {
         threads.emplace_back(work, seed);
     }
     for (std::thread &thread : threads) {
         thread.join();
     }
-    CHECK(board.known(clock_ms{ 21'000 }, 100'000).size() > 300);
+    CHECK(board.known(clock_ms{21'000}, 100'000).size() > 300);
 }
--- a/tests/unit/admission_level_test.cpp
+++ b/tests/unit/admission_level_test.cpp
@@ -7,21 +7,22 @@
 using namespace cicadamux;
 using namespace cicadamux::detail;
 
-namespace {
-constexpr clock_ms windowLength{ 100 };
+namespace
+{
+constexpr clock_ms windowLength{100};
 constexpr std::uint32_t limit = 10;
 
 struct level_fixture {
     level_fixture()
     {
-        const std::vector<rank_rule> ranks = { { "urgent", true, 1 }, { "lookup", false, 3 }, { "browse", false, 1 } };
+        const std::vector<rank_rule> ranks = {{"urgent", true, 1}, {"lookup", false, 3}, {"browse", false, 1}};
         classes.setRanks(ranks);
     }
 
     work_class &classOf(std::uint8_t rank, bool isProtected)
     {
         gate_call call;
-        call.rank = rank_id{ rank };
+        call.rank = rank_id{rank};
         call.isProtected = isProtected;
         return classes.classOf(call, now);
     }
@@ -43,7 +44,7 @@
     }
 
     class_table classes;
-    overload_level level{ classes };
+    overload_level level{classes};
     clock_ms now;
 };
 } // namespace
@@ -51,7 +52,7 @@
 TEST_CASE("a level admits all ranks until something is refused")
 {
     level_fixture fixture;
-    CHECK(fixture.level.level().rank == rank_id{ 2 });
+    CHECK(fixture.level.level().rank == rank_id{2});
     CHECK(fixture.level.level().subLevel == subLevelCount);
     fixture.offer(fixture.classOf(2, false), limit / 2);
     CHECK(fixture.level.level().subLevel == subLevelCount);
@@ -67,6 +68,6 @@
     CHECK(hold.admittedPart > 0);
     CHECK(browse.admittedPart == 0);
     CHECK(fixture.classOf(1, false).admittedPart == 0);
-    CHECK(fixture.level.level().rank == rank_id{ 0 });
+    CHECK(fixture.level.level().rank == rank_id{0});
     CHECK(fixture.level.level().subLevel < subLevelCount);
 }
--- a/tests/unit/admission_model_base.h
+++ b/tests/unit/admission_model_base.h
@@ -12,7 +12,8 @@
 #include <random>
 #include <set>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** One kind of calls that arrive at random. */
 struct arrival_stream {
@@ -103,7 +104,7 @@
         const auto lost = m_working;
         m_working.clear();
         for (const auto &[id, stream] : lost) {
-            subject.finish(call_id{ id }, work_end::server_gone, now(), m_decisions);
+            subject.finish(call_id{id}, work_end::server_gone, now(), m_decisions);
         }
         subject.refuseAll(outcome_reason::no_upstream, now(), m_decisions);
         takeDecisions();
@@ -120,7 +121,7 @@
 
     clock_ms now() const
     {
-        return { static_cast<std::int64_t>(m_now) };
+        return {static_cast<std::int64_t>(m_now)};
     }
 
     gate subject;
@@ -147,7 +148,7 @@
 
     void schedule(double at, event_kind kind, std::uint64_t what)
     {
-        m_events.push({ at, kind, what });
+        m_events.push({at, kind, what});
     }
 
     double uniform()
@@ -184,15 +185,15 @@
             return;
         }
         gate_call call;
-        call.call = call_id{ ++m_lastCall };
-        call.root = root_id{ m_random() | 1 };
-        call.rank = rank_id{ stream.rank };
+        call.call = call_id{++m_lastCall};
+        call.root = root_id{m_random() | 1};
+        call.rank = rank_id{stream.rank};
         call.callClass = stream.callClass;
         call.isProtected = stream.isProtected;
         call.depth = stream.depth;
-        call.deadline = now() + clock_ms{ stream.deadline };
+        call.deadline = now() + clock_ms{stream.deadline};
         call.lateOk = stream.lateOk;
-        m_calls.emplace(m_lastCall, model_call{ index, m_now + static_cast<double>(stream.deadline) });
+        m_calls.emplace(m_lastCall, model_call{index, m_now + static_cast<double>(stream.deadline)});
         m_waiting[m_lastCall] = tierOf(stream);
         ++counts[index].offered;
         subject.submit(call, now(), m_decisions);
@@ -231,7 +232,7 @@
         const bool inTime = streams[call.stream].lateOk || m_now <= call.deadline;
         const bool isGood = end == work_end::answered && inTime;
         ++(isGood ? counts[call.stream].answered : counts[call.stream].late);
-        subject.finish(call_id{ id }, end, now(), m_decisions);
+        subject.finish(call_id{id}, end, now(), m_decisions);
     }
 
     static int tierOf(const arrival_stream &stream)
@@ -246,7 +247,9 @@
         for (const gate_decision &decision : batch) {
             take(decision);
         }
-        const bool lesserWaits = std::ranges::any_of(m_waiting, [&](const auto &waiter) { return waiter.second > m_refusedTier; });
+        const bool lesserWaits = std::ranges::any_of(m_waiting, [&](const auto &waiter) {
+            return waiter.second > m_refusedTier;
+        });
         orderFaults += m_refusedAt == now() && lesserWaits ? 1 : 0;
     }
 
@@ -282,7 +285,7 @@
     double m_now = 0;
     std::uint64_t m_lastCall = 0;
     bool m_ticks = false;
-    clock_ms m_refusedAt{ -1 };
+    clock_ms m_refusedAt{-1};
     int m_refusedTier = 0;
 };
 
