--- a/tests/unit/admission_overload_test.cpp
+++ b/tests/unit/admission_overload_test.cpp
@@ -10,10 +10,13 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 strict_invariants::strict_invariants()
 {
-    setInvariantHook([](invariant which, std::string_view detail) { throw invariant_error(std::string(toString(which)) + ": " + std::string(detail)); });
+    setInvariantHook([](invariant which, std::string_view detail) {
+        throw invariant_error(std::string(toString(which)) + ": " + std::string(detail));
+    });
 }
 
 strict_invariants::~strict_invariants()
@@ -22,20 +25,21 @@
 }
 } // namespace cicadamux::test
 
-namespace {
+namespace
+{
 constexpr std::uint32_t slots = 40;
 constexpr double capacity = 4; ///< Calls per millisecond: 40 slots, 10 ms each.
 
-const std::vector<rank_rule> ranks = { { "urgent", true, 100 }, { "counter", true, 100 }, { "lookup", false, 3 }, { "browse", false, 1 } };
+const std::vector<rank_rule> ranks = {{"urgent", true, 100}, {"counter", true, 100}, {"lookup", false, 3}, {"browse", false, 1}};
 
 arrival_stream urgent(const std::string &callClass, double rate)
 {
-    return { .rank = 0, .isProtected = true, .callClass = callClass, .rate = rate };
+    return {.rank = 0, .isProtected = true, .callClass = callClass, .rate = rate};
 }
 
 arrival_stream lesser(std::uint8_t rank, const std::string &callClass, double rate)
 {
-    return { .rank = rank, .isProtected = false, .callClass = callClass, .rate = rate };
+    return {.rank = rank, .isProtected = false, .callClass = callClass, .rate = rate};
 }
 
 /** Sets up a gate with the ranks above and announced slots. */
@@ -120,8 +124,12 @@
             run.server.slowness = 1;
             run.run(3'000); // Until the slow calls at work have ended.
         },
-        [](overload_run &run) { run.pause(5'000); },
-        [](overload_run &run) { run.loseServer(); },
+        [](overload_run &run) {
+            run.pause(5'000);
+        },
+        [](overload_run &run) {
+            run.loseServer();
+        },
     };
     for (std::size_t number = 0; number < troubles.size(); ++number) {
         CAPTURE(number);
@@ -147,7 +155,7 @@
     std::vector<gate_decision> decisions;
     constexpr std::uint64_t firstId = 1'000'000'000;
     for (std::uint64_t id = firstId; id < firstId + 300; ++id) {
-        gate_call call{ .call = call_id{ id }, .root = root_id{ id }, .rank = rank_id{ 3 }, .callClass = "browse", .deadline = run.now() + clock_ms{ 1'000 } };
+        gate_call call{.call = call_id{id}, .root = root_id{id}, .rank = rank_id{3}, .callClass = "browse", .deadline = run.now() + clock_ms{1'000}};
         decisions.clear();
         run.subject.submit(call, run.now(), decisions);
         const bool isRefused = !decisions.empty() && decisions.front().call == call.call && !decisions.front().admitted;
@@ -177,7 +185,7 @@
 TEST_CASE("admission: backlogged classes of a rank share it evenly")
 {
     const strict_invariants strict;
-    for (const bool isProtected : { true, false }) {
+    for (const bool isProtected : {true, false}) {
         overload_run run(5);
         constexpr std::size_t classCount = 5;
         for (std::size_t number = 0; number < classCount; ++number) {
@@ -227,7 +235,7 @@
 TEST_CASE("admission: a backend server with fewer slots than announced is found out, by sheds and by latency")
 {
     const strict_invariants strict;
-    for (const bool sheds : { true, false }) {
+    for (const bool sheds : {true, false}) {
         CAPTURE(sheds);
         overload_run run(8);
         run.server.slots = slots / 4;
--- a/tests/unit/admission_random_test.cpp
+++ b/tests/unit/admission_random_test.cpp
@@ -12,7 +12,8 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 /** Draws a whole schedule from one seed. */
 class random_schedule
 {
@@ -76,7 +77,7 @@
         settings.minLimit = static_cast<std::uint32_t>(draw(1, 4));
         settings.maxLimit = static_cast<std::uint32_t>(draw(4, 128));
         settings.maxWaiting = static_cast<std::uint32_t>(draw(1, 300));
-        settings.maxWait = clock_ms{ static_cast<std::int64_t>(draw(5, 200)) };
+        settings.maxWait = clock_ms{static_cast<std::int64_t>(draw(5, 200))};
         return settings;
     }
 
@@ -104,7 +105,7 @@
     {
         std::vector<rank_rule> ranks;
         for (std::uint64_t rank = 0; rank < 6; ++rank) {
-            ranks.push_back({ "rank" + std::to_string(rank), rank < 3, static_cast<double>(draw(0, 10)) });
+            ranks.push_back({"rank" + std::to_string(rank), rank < 3, static_cast<double>(draw(0, 10))});
         }
         run.subject.setRanks(ranks);
     }
@@ -160,7 +161,7 @@
     constexpr int rootCount = 2'000;
     chain_survival result;
     for (int number = 0; number < rootCount; ++number) {
-        const std::uint16_t subLevel = subLevelOf(root_id{ random() | 1 });
+        const std::uint16_t subLevel = subLevelOf(root_id{random() | 1});
         bool byRoot = true;
         bool atRandom = true;
         for (const std::uint16_t level : subLevels) {
@@ -196,7 +197,7 @@
         chain.push_back(std::make_unique<gate_model>(gate_settings{}, layer + 1));
         chain.back()->subject.setAnnouncedSlots(chain.back()->server.slots);
         const double capacity = chain.back()->server.slots / chain.back()->server.serviceTime;
-        chain.back()->addStream({ .rank = 1, .callClass = "browse", .rate = 2 * capacity });
+        chain.back()->addStream({.rank = 1, .callClass = "browse", .rate = 2 * capacity});
         chain.back()->run(2'000);
     }
     std::mt19937_64 random(1);
--- a/tests/unit/admission_wait_queue_test.cpp
+++ b/tests/unit/admission_wait_queue_test.cpp
@@ -8,12 +8,13 @@
 using namespace cicadamux;
 using namespace cicadamux::detail;
 
-namespace {
+namespace
+{
 struct queue_fixture {
     queue_fixture()
         : queue(classes)
     {
-        const std::vector<rank_rule> ranks = { { "urgent", true, 1 }, { "lookup", false, 3 }, { "browse", false, 1 } };
+        const std::vector<rank_rule> ranks = {{"urgent", true, 1}, {"lookup", false, 3}, {"browse", false, 1}};
         classes.setRanks(ranks);
     }
 
@@ -21,8 +22,8 @@
     {
         for (int number = 0; number < count; ++number) {
             gate_call call;
-            call.call = call_id{ ++lastCall };
-            call.rank = rank_id{ rank };
+            call.call = call_id{++lastCall};
+            call.rank = rank_id{rank};
             call.callClass = callClass;
             queue.push(call, classes.classOf(call, {}), {});
         }
@@ -66,7 +67,7 @@
     fixture.push(2, "d", 10);
     for (int number = 0; number < 20; ++number) {
         const std::optional<taken_call> last = fixture.queue.takeLast();
-        CHECK(last->waiter.call.rank == rank_id{ 2 });
+        CHECK(last->waiter.call.rank == rank_id{2});
         CHECK(last->owner->name == "c");
     }
     CHECK(fixture.queue.size() == 80);
@@ -85,7 +86,7 @@
 
 TEST_CASE("a capacity is divided by weight, and what one claim leaves goes to the others")
 {
-    const std::vector<share_claim> claims = { { 100, 3 }, { 5, 1 }, { 100, 1 } };
+    const std::vector<share_claim> claims = {{100, 3}, {5, 1}, {100, 1}};
     const std::vector<double> given = divideCapacity(45, claims);
     CHECK(given[0] == doctest::Approx(30));
     CHECK(given[1] == doctest::Approx(5));
--- a/tests/unit/configuration_test.cpp
+++ b/tests/unit/configuration_test.cpp
@@ -15,14 +15,15 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 configuration_object rankObject(std::uint64_t generation, const std::string &operationId)
 {
     rank_table table;
     table.generation = generation;
     table.operationId = operationId;
-    table.ranks = { { "urgent", true, 100 }, { "browse", false, static_cast<double>(1 + generation) } };
-    return { std::string(rankTableKind), std::string(rankTableName), generation, formatRankTable(table) };
+    table.ranks = {{"urgent", true, 100}, {"browse", false, static_cast<double>(1 + generation)}};
+    return {std::string(rankTableKind), std::string(rankTableName), generation, formatRankTable(table)};
 }
 
 configuration_object serviceObject(const std::string &service, std::uint64_t generation, const std::string &operationId)
@@ -35,9 +36,9 @@
     rule.name = "find";
     rule.callClass = "find";
     rule.rankName = "browse";
-    rule.deadline = clock_ms{ 1'000 + static_cast<std::int64_t>(generation) };
-    policy.operations = { rule };
-    return { std::string(servicePolicyKind), service, generation, formatServicePolicy(policy) };
+    rule.deadline = clock_ms{1'000 + static_cast<std::int64_t>(generation)};
+    policy.operations = {rule};
+    return {std::string(servicePolicyKind), service, generation, formatServicePolicy(policy)};
 }
 } // namespace
 
@@ -70,7 +71,9 @@
 TEST_CASE("an object that doesn't parse, has another name or another kind is kept out")
 {
     int published = 0;
-    configuration config([&](const std::shared_ptr<const policy_set> &) { ++published; });
+    configuration config([&](const std::shared_ptr<const policy_set> &) {
+        ++published;
+    });
     config.offer(serviceObject("feebox", 3, "x"));
     configuration_object wrong = serviceObject("feebox", 4, "y");
     wrong.name = "pitchdesk";
@@ -97,13 +100,15 @@
     CHECK(ahead.newerThan(behind.generations(), 100).size() == 6);
     CHECK(ahead.newerThan(behind.generations(), 4).size() == 4);
     CHECK(ahead.lackedOf(behind.generations()).size() == 1);
-    const std::vector<object_generation> named{ { std::string(servicePolicyKind), "service-9", 1 }, { std::string(servicePolicyKind), "service-1", 2 } };
+    const std::vector<object_generation> named{{std::string(servicePolicyKind), "service-9", 1}, {std::string(servicePolicyKind), "service-1", 2}};
     CHECK(ahead.newerOf(named).size() == 1);
 }
 
 TEST_CASE("offers in any order, doubled, stale, conflicting, from a restored store, end in the same configuration and never go down")
 {
-    setInvariantHook([](invariant which, std::string_view detail) { throw invariant_error(std::string(toString(which)) + ' ' + std::string(detail)); });
+    setInvariantHook([](invariant which, std::string_view detail) {
+        throw invariant_error(std::string(toString(which)) + ' ' + std::string(detail));
+    });
     for (std::uint64_t seed = 1; seed <= seedCount(100); ++seed) {
         CAPTURE(seed);
         std::mt19937_64 engine(seed);
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -22,14 +22,14 @@
 
 TEST_CASE("a log line can't be forged by a value")
 {
-    CHECK(formatLogLine("call_refused", { { "root", "a b" }, { "text", "x\nevent=y" } }) == "event=call_refused root=\"a b\" text=\"x?event=y\"");
+    CHECK(formatLogLine("call_refused", {{"root", "a b"}, {"text", "x\nevent=y"}}) == "event=call_refused root=\"a b\" text=\"x?event=y\"");
 }
 
 TEST_CASE("readers of a snapshot see whole values while a writer replaces them")
 {
     rcu_snapshot<std::pair<int, int>> snapshot;
-    std::atomic<bool> stop{ false };
-    std::atomic<int> torn{ 0 };
+    std::atomic<bool> stop{false};
+    std::atomic<int> torn{0};
     std::thread reader([&] {
         while (!stop) {
             const auto value = snapshot.load();
--- a/tests/unit/fleet_fakes.cpp
+++ b/tests/unit/fleet_fakes.cpp
@@ -8,11 +8,13 @@
 #include <algorithm>
 #include <chrono>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
-namespace {
+namespace
+{
 constexpr std::size_t threadCount = 2;
-constexpr clock_ms watchStep{ 20 }; ///< Between two looks of a waiting watch.
+constexpr clock_ms watchStep{20}; ///< Between two looks of a waiting watch.
 
 std::string freeAddress(boost::asio::io_context &context)
 {
@@ -31,12 +33,14 @@
 {
     const std::lock_guard lock(m_mutex);
     platform_result<platform_object> result;
-    const auto found = m_contents.objects.find({ std::string(kind), std::string(name) });
+    const auto found = m_contents.objects.find({std::string(kind), std::string(name)});
     result.failure = isDown ? platform_failure::unreachable : found == m_contents.objects.end() ? platform_failure::not_found : platform_failure::none;
     if (result.failure == platform_failure::none) {
         result.value = found->second.object;
     }
-    boost::asio::post(m_context, [handler = std::move(handler), result] { handler(result); });
+    boost::asio::post(m_context, [handler = std::move(handler), result] {
+        handler(result);
+    });
 }
 
 void fake_platform::put(std::string_view kind, std::string_view name, std::string_view value, std::uint64_t ifVersion, platform_handler<std::uint64_t> handler)
@@ -45,15 +49,17 @@
     platform_result<std::uint64_t> result;
     {
         const std::lock_guard lock(m_mutex);
-        held &object = m_contents.objects[{ std::string(kind), std::string(name) }];
+        held &object = m_contents.objects[{std::string(kind), std::string(name)}];
         if (isDown || object.object.version != ifVersion) {
             result.failure = isDown ? platform_failure::timeout : platform_failure::conflict;
         } else {
-            object = { { std::string(kind), std::string(name), ifVersion + 1, std::string(value) }, ++m_contents.cursor };
+            object = {{std::string(kind), std::string(name), ifVersion + 1, std::string(value)}, ++m_contents.cursor};
             result.value = ifVersion + 1;
         }
     }
-    boost::asio::post(m_context, [handler = std::move(handler), result] { handler(result); });
+    boost::asio::post(m_context, [handler = std::move(handler), result] {
+        handler(result);
+    });
 }
 
 platform_result<platform_changes> fake_platform::changesSince(const std::string &kind, std::uint64_t cursor)
@@ -76,7 +82,9 @@
 void fake_platform::list(std::string_view kind, platform_handler<platform_changes> handler)
 {
     ++calls;
-    boost::asio::post(m_context, [handler = std::move(handler), result = changesSince(std::string(kind), 0)] { handler(result); });
+    boost::asio::post(m_context, [handler = std::move(handler), result = changesSince(std::string(kind), 0)] {
+        handler(result);
+    });
 }
 
 void fake_platform::watch(std::string_view kind, std::uint64_t cursor, clock_ms wait, platform_handler<platform_changes> handler)
@@ -102,8 +110,8 @@
 void fake_platform::write(const std::string &kind, const std::string &name, const std::string &value)
 {
     const std::lock_guard lock(m_mutex);
-    held &object = m_contents.objects[{ kind, name }];
-    object = { { kind, name, object.object.version + 1, value }, ++m_contents.cursor };
+    held &object = m_contents.objects[{kind, name}];
+    object = {{kind, name, object.object.version + 1, value}, ++m_contents.cursor};
 }
 
 void fake_platform::save()
@@ -121,7 +129,7 @@
 bool fake_platform::holds(const std::string &kind, const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
-    return m_contents.objects.contains({ kind, name });
+    return m_contents.objects.contains({kind, name});
 }
 
 fleet_group::fleet_group()
@@ -129,7 +137,9 @@
 {
     unreachable.isDown = true;
     for (std::size_t number = 0; number < threadCount; ++number) {
-        m_threads.emplace_back([this] { context.run(); });
+        m_threads.emplace_back([this] {
+            context.run();
+        });
     }
 }
 
@@ -151,9 +161,11 @@
     settings.dataCenter = dataCenter;
     settings.peerAddress = freeAddress(context);
     settings.seeds = givesSeeds ? m_seeds : std::vector<std::string>{};
-    settings.platformWatch = clock_ms{ 300 };
+    settings.platformWatch = clock_ms{300};
     fleet_hooks hooks;
-    hooks.exchange = [this](const std::string &address, const exchange_request &request, const exchange_handler &handler) { ask(address, request, handler); };
+    hooks.exchange = [this](const std::string &address, const exchange_request &request, const exchange_handler &handler) {
+        ask(address, request, handler);
+    };
     std::atomic<std::uint64_t> &count = reverts[host];
     hooks.policyChanged = [&count, highest = std::make_shared<std::map<std::string, std::uint64_t>>()](const std::shared_ptr<const policy_set> &policies) {
         for (const auto &[service, policy] : policies->services()) {
@@ -161,8 +173,8 @@
             (*highest)[service] = policy.generation;
         }
     };
-    static std::atomic<std::uint64_t> lives{ 0 };
-    const incarnation_id incarnation{ static_cast<std::uint64_t>(wallNow().count) + ++lives };
+    static std::atomic<std::uint64_t> lives{0};
+    const incarnation_id incarnation{static_cast<std::uint64_t>(wallNow().count) + ++lives};
     auto one = std::make_unique<fleet>(context, settings, incarnation, client, hooks);
     fleet &result = *one;
     {
--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -19,7 +19,8 @@
 #include <thread>
 #include <vector>
 
-namespace cicadamux::test {
+namespace cicadamux::test
+{
 
 /** A platform in memory; may be made to fail, and to forget. */
 class fake_platform : public platform_client
@@ -42,8 +43,8 @@
     /** @return Whether an object of this kind and name exists. */
     bool holds(const std::string &kind, const std::string &name);
 
-    std::atomic<bool> isDown{ false };
-    std::atomic<std::uint64_t> calls{ 0 };
+    std::atomic<bool> isDown{false};
+    std::atomic<std::uint64_t> calls{0};
 
 private:
     struct held {
@@ -81,8 +82,8 @@
 
     bool givesSeeds = true; ///< Whether daemons that start get seeds in their settings.
     boost::asio::io_context context;
-    fake_platform platform{ context };
-    fake_platform unreachable{ context }; ///< Down from the start.
+    fake_platform platform{context};
+    fake_platform unreachable{context}; ///< Down from the start.
     std::map<std::string, std::unique_ptr<fleet>> fleets;
     std::map<std::string, std::atomic<std::uint64_t>> reverts; ///< By host: policies that went down.
 
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -11,7 +11,8 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 
 constexpr std::string_view endOfHeader = "\r\n\r\n";
 
@@ -21,7 +22,9 @@
     http_request request;
     request.method = "GET";
     request.target = "/";
-    client.send(std::move(request), [&promise](http_result result) { promise.set_value(std::move(result)); });
+    client.send(std::move(request), [&promise](http_result result) {
+        promise.set_value(std::move(result));
+    });
     auto future = promise.get_future();
     REQUIRE(future.wait_for(std::chrono::seconds(10)) == std::future_status::ready);
     return future.get();
@@ -65,7 +68,7 @@
 TEST_CASE("a second answer on a kept-alive connection never goes to the next request")
 {
     io_threads io;
-    std::atomic<int> connections{ 0 };
+    std::atomic<int> connections{0};
     raw_server server([&connections](raw_socket &connection) {
         ++connections;
         connection.receiveUntil(endOfHeader);
@@ -105,11 +108,13 @@
         rest.set_value(connection.receiveAll());
     });
     http_client client(io.context, server.address(), {});
-    std::atomic<bool> called{ false };
+    std::atomic<bool> called{false};
     http_request request;
     request.method = "GET";
     request.target = "/";
-    const auto pending = client.send(std::move(request), [&called](const http_result &) { called = true; });
+    const auto pending = client.send(std::move(request), [&called](const http_result &) {
+        called = true;
+    });
     received.get_future().wait();
     pending->abandon();
     CHECK(rest.get_future().get().empty());
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -12,7 +12,8 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 
 http_response typedResponse(outcome_reason reason)
 {
@@ -35,7 +36,7 @@
     http_limits limits;
     limits.maxHeaderBytes = 1'024;
     limits.maxBodyBytes = 1'000;
-    limits.requestTimeout = { 200 };
+    limits.requestTimeout = {200};
     return limits;
 }
 
@@ -52,19 +53,20 @@
 {
     io_threads io;
     http_server server(io.context, "127.0.0.1:0", smallLimits(), echo, typedResponse);
+    server.open();
     struct bad_input {
         std::string bytes;
         outcome_reason reason;
     };
     const std::vector<bad_input> inputs = {
-        { "NONSENSE\r\n\r\n", outcome_reason::bad_request },
-        { "GET / HTTP/9.9\r\n\r\n", outcome_reason::bad_request },
-        { "GET / HTTP/1.1\r\nno colon here\r\n\r\n", outcome_reason::bad_request },
-        { "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n", outcome_reason::bad_request },
-        { "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello", outcome_reason::bad_request },
-        { "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", outcome_reason::bad_request },
-        { "GET / HTTP/1.1\r\nx: " + std::string(4'000, 'a') + "\r\n\r\n", outcome_reason::too_large },
-        { "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n", outcome_reason::too_large },
+        {"NONSENSE\r\n\r\n", outcome_reason::bad_request},
+        {"GET / HTTP/9.9\r\n\r\n", outcome_reason::bad_request},
+        {"GET / HTTP/1.1\r\nno colon here\r\n\r\n", outcome_reason::bad_request},
+        {"POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n", outcome_reason::bad_request},
+        {"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello", outcome_reason::bad_request},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", outcome_reason::bad_request},
+        {"GET / HTTP/1.1\r\nx: " + std::string(4'000, 'a') + "\r\n\r\n", outcome_reason::too_large},
+        {"POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n", outcome_reason::too_large},
     };
     for (const bad_input &input : inputs) {
         CAPTURE(input.bytes.substr(0, 60));
@@ -79,6 +81,7 @@
 {
     io_threads io;
     http_server server(io.context, "127.0.0.1:0", smallLimits(), echo, typedResponse);
+    server.open();
     raw_socket silent(server.boundAddress());
     silent.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
     CHECK(silent.receiveAll().ends_with("bad_request"));
@@ -93,6 +96,7 @@
 {
     io_threads io;
     http_server server(io.context, "127.0.0.1:0", smallLimits(), echo, typedResponse);
+    server.open();
     raw_socket socket(server.boundAddress());
     socket.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\noneGET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 3\r\n\r\ntwo");
     const std::string answers = socket.receiveAll();
@@ -104,8 +108,13 @@
 {
     io_threads io;
     std::promise<void> gone;
-    const auto wait = [&gone](const http_request &, const std::shared_ptr<http_exchange> &exchange) { exchange->onGone([&gone] { gone.set_value(); }); };
+    const auto wait = [&gone](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
+        exchange->onGone([&gone] {
+            gone.set_value();
+        });
+    };
     http_server server(io.context, "127.0.0.1:0", smallLimits(), wait, typedResponse);
+    server.open();
     {
         raw_socket socket(server.boundAddress());
         socket.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -119,6 +128,7 @@
     http_limits limits = smallLimits();
     limits.maxConnections = 1;
     http_server server(io.context, "127.0.0.1:0", limits, echo, typedResponse);
+    server.open();
     raw_socket first(server.boundAddress());
     first.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello");
     CHECK(first.receiveUntil("hello").ends_with("hello"));
@@ -129,7 +139,7 @@
 TEST_CASE("an address that can't be used is a typed error")
 {
     io_threads io;
-    const std::vector<std::string> addresses = { "127.0.0.1", "localhost:1", "127.0.0.1:x", "127.0.0.1:70000", "203.0.113.1:1" };
+    const std::vector<std::string> addresses = {"127.0.0.1", "localhost:1", "127.0.0.1:x", "127.0.0.1:70000", "203.0.113.1:1"};
     for (const std::string &address : addresses) {
         CAPTURE(address);
         CHECK_THROWS_AS(http_server(io.context, address, smallLimits(), echo, typedResponse), address_error);
--- a/tests/unit/membership_spread_test.cpp
+++ b/tests/unit/membership_spread_test.cpp
@@ -14,12 +14,15 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 /** Makes a violated invariant fail the test. */
 struct invariant_guard {
     invariant_guard()
     {
-        setInvariantHook([](invariant which, std::string_view detail) { throw invariant_error(std::string(toString(which)) + ' ' + std::string(detail)); });
+        setInvariantHook([](invariant which, std::string_view detail) {
+            throw invariant_error(std::string(toString(which)) + ' ' + std::string(detail));
+        });
     }
     ~invariant_guard()
     {
@@ -46,7 +49,7 @@
         }
         break;
     case 1:
-        network.pause(node.host, clock_ms{ static_cast<std::int64_t>(engine() % 9'000) });
+        network.pause(node.host, clock_ms{static_cast<std::int64_t>(engine() % 9'000)});
         break;
     case 2:
         network.reaches = [one = hostOf(engine() % hosts), other = hostOf(engine() % hosts)](const std::string &from, const std::string &to) {
@@ -54,7 +57,9 @@
         };
         break;
     case 3:
-        network.reaches = [](const std::string &from, const std::string &to) { return from.front() == to.front(); };
+        network.reaches = [](const std::string &from, const std::string &to) {
+            return from.front() == to.front();
+        };
         break;
     case 4:
         network.reaches = nullptr;
@@ -62,7 +67,9 @@
     default:
         if (node.isRunning && node.pausedUntil <= network.now) {
             node.table->updateSelf(
-                [&](member_record &record) { record.server = record.server == server_state::serving ? server_state::draining : server_state::serving; },
+                [&](member_record &record) {
+                    record.server = record.server == server_state::serving ? server_state::draining : server_state::serving;
+                },
                 network.now);
         }
     }
@@ -78,19 +85,22 @@
         gossip_network network(seed);
         network.startMany("a", 10, "tbs-1");
         network.startMany("b", 5, "tbs-2");
-        network.faults = { .loss = 0.2, .duplication = 0.1, .lateness = 0.05, .delay = 150 };
+        network.faults = {.loss = 0.2, .duplication = 0.1, .lateness = 0.05, .delay = 150};
         for (int event = 0; event < 30; ++event) {
             disturb(network, engine);
-            network.run(clock_ms{ static_cast<std::int64_t>(engine() % 3'000) });
+            network.run(clock_ms{static_cast<std::int64_t>(engine() % 3'000)});
         }
         network.faults = {};
         network.reaches = nullptr;
-        network.run({ 25'000 });
+        network.run({25'000});
         CHECK(network.difference() == "");
-        for (const std::string dataCenter : { "tbs-1", "tbs-2" }) {
-            const std::size_t running = network.count([&](const network_node &node) { return node.dataCenter == dataCenter; });
-            CHECK(network.count([&](const network_node &node) { return node.dataCenter == dataCenter && node.table->holdsDuty("watch", 2); })
-                  == std::min<std::size_t>(2, running));
+        for (const std::string dataCenter : {"tbs-1", "tbs-2"}) {
+            const std::size_t running = network.count([&](const network_node &node) {
+                return node.dataCenter == dataCenter;
+            });
+            CHECK(network.count([&](const network_node &node) {
+                return node.dataCenter == dataCenter && node.table->holdsDuty("watch", 2);
+            }) == std::min<std::size_t>(2, running));
         }
     }
 }
@@ -103,10 +113,14 @@
         gossip_network network(seed);
         network.startMany("a", 100, "tbs-1");
         network.startMany("b", 30, "tbs-2");
-        network.run({ 10'000 });
-        network.faults = { .loss = 0.2, .duplication = 0, .lateness = 0, .delay = 20 };
-        network.nodes.at("a7").table->updateSelf([](member_record &record) { record.state = member_state::leaving; }, network.now);
-        network.run({ 3'000 });
+        network.run({10'000});
+        network.faults = {.loss = 0.2, .duplication = 0, .lateness = 0, .delay = 20};
+        network.nodes.at("a7").table->updateSelf(
+            [](member_record &record) {
+                record.state = member_state::leaving;
+            },
+            network.now);
+        network.run({3'000});
         CHECK(network.count([](const network_node &node) {
             const auto record = seen(node, "a7");
             return record && record->state == member_state::leaving;
@@ -119,9 +133,13 @@
     gossip_network network(1);
     network.startMany("a", 60, "tbs-1");
     network.startMany("b", 20, "tbs-2");
-    network.run({ 10'000 });
+    network.run({10'000});
     network.compares = false;
-    network.nodes.at("a7").table->updateSelf([](member_record &record) { record.state = member_state::leaving; }, network.now);
+    network.nodes.at("a7").table->updateSelf(
+        [](member_record &record) {
+            record.state = member_state::leaving;
+        },
+        network.now);
     const auto knowing = [&](const std::string &dataCenter) {
         return network.count([&](const network_node &node) {
             const auto record = seen(node, "a7");
@@ -130,7 +148,7 @@
     };
     network.run(network.settings.probePeriod);
     CHECK(knowing("tbs-1") >= 54);
-    network.run({ 2'500 });
+    network.run({2'500});
     CHECK(knowing("tbs-1") == 60);
     CHECK(knowing("tbs-2") == 20);
 }
@@ -141,20 +159,24 @@
         CAPTURE(seed);
         gossip_network network(seed);
         network.startMany("a", 60, "tbs-1");
-        network.run({ 10'000 });
+        network.run({10'000});
         network.compares = false;
-        network.faults = { .loss = 0.2, .duplication = 0, .lateness = 0, .delay = 20 };
+        network.faults = {.loss = 0.2, .duplication = 0, .lateness = 0, .delay = 20};
         member_record stranger;
         stranger.host = "x1";
         stranger.dataCenter = "tbs-9";
         stranger.peerAddress = "x1";
         stranger.incarnation.value = 1;
         network.nodes.at("a7").table->merge(std::span(&stranger, 1), network.now);
-        const auto knowing = [&] { return network.count([](const network_node &node) { return seen(node, "x1").has_value(); }); };
-        network.run({ 10'000 });
+        const auto knowing = [&] {
+            return network.count([](const network_node &node) {
+                return seen(node, "x1").has_value();
+            });
+        };
+        network.run({10'000});
         CHECK(knowing() >= 57);
         network.compares = true;
-        network.run({ 20'000 });
+        network.run({20'000});
         CHECK(knowing() == 60);
     }
 }
@@ -163,16 +185,16 @@
 {
     gossip_network network(1);
     network.startMany("a", 150, "tbs-1");
-    network.run({ 10'000 });
-    const change_announcement change{ "service_policy", "pitchdesk", 2, 1 };
-    std::set<std::string> heard{ "a0" };
+    network.run({10'000});
+    const change_announcement change{"service_policy", "pitchdesk", 2, 1};
+    std::set<std::string> heard{"a0"};
     network.changeHeard = [&](network_node &node, const change_announcement &announced) {
         if (announced == change && heard.insert(node.host).second) {
             node.table->announce(change, network.now);
         }
     };
     network.nodes.at("a0").table->announce(change, network.now);
-    network.run({ 1'000 });
+    network.run({1'000});
     CHECK(heard.size() == 150);
 }
 
@@ -184,7 +206,7 @@
     constexpr std::uint64_t eventsPerSecond = 40;
     gossip_network network(1);
     network.startMany("a", members, "tbs-1");
-    network.run({ 10'000 });
+    network.run({10'000});
     for (auto &[host, node] : network.nodes) {
         node.bytesSent = 0;
     }
@@ -194,9 +216,13 @@
             network.start(host, "tbs-1");
         }
         network.nodes.at(host).table->updateSelf(
-            [&](member_record &record) { record.server = record.server == server_state::serving ? server_state::draining : server_state::serving; },
+            [&](member_record &record) {
+                record.server = record.server == server_state::serving ? server_state::draining : server_state::serving;
+            },
             network.now);
-        network.run({ 1'000 / eventsPerSecond });
+        network.run({1'000 / eventsPerSecond});
     }
-    CHECK(network.count([](const network_node &node) { return node.bytesSent <= seconds * bytesPerSecond; }) == members);
+    CHECK(network.count([](const network_node &node) {
+        return node.bytesSent <= seconds * bytesPerSecond;
+    }) == members);
 }
--- a/tests/unit/membership_table_test.cpp
+++ b/tests/unit/membership_table_test.cpp
@@ -10,7 +10,8 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 std::string newsOf(const member_record &record)
 {
     wire::Gossip message;
@@ -32,7 +33,9 @@
 
 std::size_t holders(const gossip_network &network, const std::string &dataCenter)
 {
-    return network.count([&](const network_node &node) { return node.dataCenter == dataCenter && node.table->holdsDuty("watch", 2); });
+    return network.count([&](const network_node &node) {
+        return node.dataCenter == dataCenter && node.table->holdsDuty("watch", 2);
+    });
 }
 } // namespace
 
@@ -41,7 +44,7 @@
     gossip_network network(1);
     network.startMany("a", 8, "tbs-1");
     network.startMany("b", 4, "tbs-2");
-    network.run({ 10'000 });
+    network.run({10'000});
     CHECK(network.difference() == "");
     CHECK(holders(network, "tbs-1") == 2);
     CHECK(holders(network, "tbs-2") == 2);
@@ -52,12 +55,12 @@
     gossip_network network(2);
     network.startMany("a", 8, "tbs-1");
     network.startMany("b", 4, "tbs-2");
-    network.run({ 5'000 });
+    network.run({5'000});
     network.kill("a5");
-    network.run({ 10'000 });
+    network.run({10'000});
     CHECK(network.difference() == "");
     network.start("a5", "tbs-1");
-    network.run({ 3'000 });
+    network.run({3'000});
     CHECK(network.difference() == "");
 }
 
@@ -65,10 +68,10 @@
 {
     gossip_network network(3);
     network.startMany("a", 6, "tbs-1");
-    network.run({ 5'000 });
+    network.run({5'000});
     const member_record old = network.nodes.at("a3").table->self();
     network.kill("a3");
-    network.run({ 15'000 });
+    network.run({15'000});
     REQUIRE(network.difference() == "");
     network.nodes.at("a1").table->receive("a3", newsOf(old), network.now);
     CHECK_FALSE(seen(network.nodes.at("a1"), "a3").has_value());
@@ -78,13 +81,13 @@
 {
     gossip_network network(4);
     network.startMany("a", 4, "tbs-1");
-    network.run({ 5'000 });
+    network.run({5'000});
     member_record old = network.nodes.at("a3").table->self();
     old.revision = 1'000;
     network.kill("a3");
-    network.run({ 2'000 });
+    network.run({2'000});
     const incarnation_id present = network.start("a3", "tbs-1").table->self().incarnation;
-    network.run({ 3'000 });
+    network.run({3'000});
     network.nodes.at("a1").table->receive("a3", newsOf(old), network.now);
     REQUIRE(seen(network.nodes.at("a1"), "a3").has_value());
     CHECK(seen(network.nodes.at("a1"), "a3")->incarnation == present);
@@ -94,17 +97,17 @@
 {
     gossip_network network(5);
     network.startMany("a", 6, "tbs-1");
-    network.run({ 5'000 });
+    network.run({5'000});
     member_record suspicion = network.nodes.at("a2").table->self();
     suspicion.state = member_state::suspect;
     network.nodes.at("a1").table->receive("a4", newsOf(suspicion), network.now);
-    network.run({ 10'000 });
+    network.run({10'000});
     CHECK(network.difference() == "");
     CHECK(total(network, &member_counters::declaredDead) == 0);
     suspicion.incarnation.value += 1'000;
     suspicion.state = member_state::alive;
     network.nodes.at("a1").table->receive("a4", newsOf(suspicion), network.now);
-    network.run({ 5'000 });
+    network.run({5'000});
     CHECK(network.difference() == "");
     CHECK(network.nodes.at("a2").table->self().incarnation > suspicion.incarnation);
 }
@@ -113,12 +116,14 @@
 {
     gossip_network network(6);
     network.startMany("a", 3, "tbs-1");
-    network.run({ 5'000 });
-    const auto holder = std::ranges::find_if(network.nodes, [](const auto &item) { return item.second.table->holdsDuty("watch", 1); });
+    network.run({5'000});
+    const auto holder = std::ranges::find_if(network.nodes, [](const auto &item) {
+        return item.second.table->holdsDuty("watch", 1);
+    });
     REQUIRE(holder != network.nodes.end());
     member_table &table = *holder->second.table;
     const std::uint64_t before = table.self().revision;
-    table.tick(network.now + clock_ms{ 20'000 });
+    table.tick(network.now + clock_ms{20'000});
     CHECK_FALSE(table.holdsDuty("watch", 1));
     CHECK(table.self().revision > before);
     CHECK(table.counters().timeGaps == 1);
@@ -129,9 +134,11 @@
 {
     gossip_network network(7);
     network.startMany("a", 8, "tbs-1");
-    network.run({ 5'000 });
-    network.reaches = [](const std::string &from, const std::string &to) { return !(from == "a1" && to == "a2"); };
-    network.run({ 20'000 });
+    network.run({5'000});
+    network.reaches = [](const std::string &from, const std::string &to) {
+        return !(from == "a1" && to == "a2");
+    };
+    network.run({20'000});
     CHECK(total(network, &member_counters::suspicions) == 0);
     CHECK(network.difference() == "");
 }
@@ -140,15 +147,19 @@
 {
     gossip_network network(8);
     network.startMany("a", 12, "tbs-1");
-    network.run({ 5'000 });
+    network.run({5'000});
     network.reaches = [](const std::string &from, const std::string &to) {
-        const auto side = [](const std::string &host) { return host.back() % 2 == 0; };
+        const auto side = [](const std::string &host) {
+            return host.back() % 2 == 0;
+        };
         return side(from) == side(to);
     };
-    network.run({ 120'000 });
-    CHECK(network.count([](const network_node &node) { return node.table->view().size() == 6; }) == 12);
+    network.run({120'000});
+    CHECK(network.count([](const network_node &node) {
+        return node.table->view().size() == 6;
+    }) == 12);
     network.reaches = nullptr;
-    network.run({ 10'000 });
+    network.run({10'000});
     CHECK(network.difference() == "");
     CHECK(holders(network, "tbs-1") == 2);
 }
@@ -157,12 +168,14 @@
 {
     gossip_network network(9);
     network.startMany("a", 10, "tbs-1");
-    network.run({ 5'000 });
-    network.reaches = [](const std::string &from, const std::string &to) { return from != "a1" && to != "a1"; };
-    network.run({ 6'000 });
+    network.run({5'000});
+    network.reaches = [](const std::string &from, const std::string &to) {
+        return from != "a1" && to != "a1";
+    };
+    network.run({6'000});
     CHECK(network.nodes.at("a1").table->counters().declaredDead == 0);
     network.reaches = nullptr;
-    network.run({ 5'000 });
+    network.run({5'000});
     CHECK(network.difference() == "");
 }
 
@@ -171,21 +184,23 @@
     gossip_network network(12);
     network.startMany("a", 4, "tbs-1");
     network.startMany("b", 6, "tbs-2");
-    network.run({ 5'000 });
+    network.run({5'000});
     network.reaches = [](const std::string &from, const std::string &to) {
-        const auto side = [](const std::string &host) { return host.front() == 'b' ? host.back() % 2 : 2; };
+        const auto side = [](const std::string &host) {
+            return host.front() == 'b' ? host.back() % 2 : 2;
+        };
         return side(from) == side(to) || side(from) == 2 || side(to) == 2;
     };
-    network.run({ 700'000 });
+    network.run({700'000});
     network.reaches = nullptr;
-    network.run({ 25'000 });
+    network.run({25'000});
     CHECK(network.difference() == "");
 }
 
 TEST_CASE("a daemon keeps of other data centres the services of its interest and a few contacts, and its duty holders all")
 {
     gossip_network network(10);
-    network.settings.interests = { "feebox" };
+    network.settings.interests = {"feebox"};
     network.startMany("a", 6, "tbs-1");
     network.startMany("b", 12, "tbs-2");
     for (std::size_t number = 0; number < 12; ++number) {
@@ -197,7 +212,7 @@
                 },
                 network.now);
     }
-    network.run({ 20'000 });
+    network.run({20'000});
     for (const auto &item : network.nodes) {
         const network_node &node = item.second;
         const std::vector<member_record> view = node.table->view();
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -10,7 +10,8 @@
 
 using namespace cicadamux;
 
-namespace {
+namespace
+{
 bool has(const daemon_metrics &metrics, const std::string &line)
 {
     return metrics.exposition().find(line) != std::string::npos;
--- a/tests/unit/operator_change_test.cpp
+++ b/tests/unit/operator_change_test.cpp
@@ -9,7 +9,8 @@
 using test::operators::fake_fleet;
 using test::operators::platform_trouble;
 
-namespace {
+namespace
+{
 struct change_fixture {
     fake_fleet fleet;
 
@@ -20,13 +21,13 @@
 
     std::vector<platform_object> &ranks()
     {
-        return fleet.platform.history[{ "rank_table", "default" }];
+        return fleet.platform.history[{"rank_table", "default"}];
     }
 
     /** Lets the calls to the platform go wrong in this order; further ones go well. */
     void script(std::vector<platform_trouble> troubles)
     {
-        fleet.platform.trouble = [troubles = std::move(troubles), next = std::size_t{ 0 }]() mutable {
+        fleet.platform.trouble = [troubles = std::move(troubles), next = std::size_t{0}]() mutable {
             return next < troubles.size() ? troubles[next++] : platform_trouble::none;
         };
     }
@@ -80,7 +81,7 @@
 TEST_CASE_FIXTURE(change_fixture, "several faults between objects come at once")
 {
     fleet.run("set operation pitchdesk/hold at-most-once no");
-    auto desk = parseServicePolicy(fleet.platform.history[{ "service_policy", "pitchdesk" }].back().value);
+    auto desk = parseServicePolicy(fleet.platform.history[{"service_policy", "pitchdesk"}].back().value);
     fleet.policies = fleet.policies->withService(desk);
     const query_result result = fleet.run("set operation pitchdesk/hold retries 2");
     CHECK(is(result, query_status::refused));
@@ -89,10 +90,10 @@
 
 TEST_CASE_FIXTURE(change_fixture, "a lost answer is settled by the operation id")
 {
-    script({ platform_trouble::none, platform_trouble::lost_after });
+    script({platform_trouble::none, platform_trouble::lost_after});
     CHECK(is(fleet.run("set rank browse effort 5"), query_status::accepted));
     CHECK(ranks().size() == 2);
-    script({ platform_trouble::none, platform_trouble::lost_before });
+    script({platform_trouble::none, platform_trouble::lost_before});
     CHECK(is(fleet.run("set rank browse effort 6"), query_status::accepted));
     CHECK(ranks().size() == 3);
 }
@@ -118,7 +119,7 @@
 TEST_CASE_FIXTURE(change_fixture, "a stale read is no race, and never brings back an older object")
 {
     rival(7, "rival-1");
-    script({ platform_trouble::stale_read });
+    script({platform_trouble::stale_read});
     fleet.policies = fleet.policies->withRankTable(parseRankTable(ranks().back().value)); // In force already.
     CHECK(is(fleet.run("set rank browse effort 5"), query_status::accepted));
     const rank_table written = parseRankTable(ranks().back().value);
@@ -133,9 +134,13 @@
 
 TEST_CASE_FIXTURE(change_fixture, "a platform that is down ends in unreachable, and one that never answers a write in unknown")
 {
-    fleet.platform.trouble = [] { return platform_trouble::down; };
+    fleet.platform.trouble = [] {
+        return platform_trouble::down;
+    };
     CHECK(is(fleet.run("set rank browse effort 5"), query_status::unreachable));
-    fleet.platform.trouble = [calls = 0]() mutable { return ++calls == 1 ? platform_trouble::none : platform_trouble::lost_before; };
+    fleet.platform.trouble = [calls = 0]() mutable {
+        return ++calls == 1 ? platform_trouble::none : platform_trouble::lost_before;
+    };
     const query_result unknown = fleet.run("set rank browse effort 5");
     CHECK(is(unknown, query_status::unknown));
     CHECK(unknown.change.has_value());
--- a/tests/unit/operator_command_line_test.cpp
+++ b/tests/unit/operator_command_line_test.cpp
@@ -13,7 +13,8 @@
 
 using namespace cicadamux;
 
-namespace {
+namespace
+{
 int run(std::vector<std::string> words)
 {
     words.insert(words.begin(), "cicadamux");
@@ -22,7 +23,9 @@
     for (std::string &word : words) {
         pointers.push_back(word.data());
     }
-    return runCommandLine(static_cast<int>(pointers.size()), pointers.data(), [](const daemon_settings &) { return 0; });
+    return runCommandLine(static_cast<int>(pointers.size()), pointers.data(), [](const daemon_settings &) {
+        return 0;
+    });
 }
 } // namespace
 
@@ -30,14 +33,14 @@
 {
     const int usage = static_cast<int>(query_status::usage);
     CHECK(run({}) == usage);
-    CHECK(run({ "frobnicate" }) == usage);
-    CHECK(run({ "daemon" }) == usage);
-    CHECK(run({ "daemon", "--settings" }) == usage);
-    CHECK(run({ "version", "--nosuchflag=1" }) == usage);
-    CHECK(run({ "settings", "explain", "--markdown=perhaps" }) == usage);
-    CHECK(run({ "settings", "check" }) == usage);
-    CHECK(run({ "settings", "check", "no/such/file" }) == static_cast<int>(query_status::refused));
-    CHECK(run({ "version" }) == static_cast<int>(query_status::ok));
+    CHECK(run({"frobnicate"}) == usage);
+    CHECK(run({"daemon"}) == usage);
+    CHECK(run({"daemon", "--settings"}) == usage);
+    CHECK(run({"version", "--nosuchflag=1"}) == usage);
+    CHECK(run({"settings", "explain", "--markdown=perhaps"}) == usage);
+    CHECK(run({"settings", "check"}) == usage);
+    CHECK(run({"settings", "check", "no/such/file"}) == static_cast<int>(query_status::refused));
+    CHECK(run({"version"}) == static_cast<int>(query_status::ok));
 }
 
 TEST_CASE("the names of exit codes are read back")
@@ -51,7 +54,7 @@
 TEST_CASE("policy files that can't be read are named")
 {
     std::ostringstream out;
-    const std::vector<std::string> files = { "no/such/file" };
+    const std::vector<std::string> files = {"no/such/file"};
     CHECK(checkPolicyFiles(files, out) == query_status::refused);
     CHECK(out.str().find("no/such/file: (file): can't be read") == 0);
 }
--- a/tests/unit/operator_fleet_fake.h
+++ b/tests/unit/operator_fleet_fake.h
@@ -15,7 +15,8 @@
 #include <string>
 #include <vector>
 
-namespace cicadamux::test::operators {
+namespace cicadamux::test::operators
+{
 
 /** Virtual time: events run in the order of their instants. */
 class event_queue
@@ -58,14 +59,14 @@
     /** Writes at once, as another operator would. */
     void write(const std::string &kind, const std::string &name, const std::string &value)
     {
-        auto &versions = history[{ kind, name }];
-        versions.push_back({ kind, name, versions.empty() ? 1 : versions.back().version + 1, value });
+        auto &versions = history[{kind, name}];
+        versions.push_back({kind, name, versions.empty() ? 1 : versions.back().version + 1, value});
     }
 
     void get(std::string_view kind, std::string_view name, platform_handler<platform_object> handler) override
     {
         const auto trouble = next();
-        const auto &versions = history[{ std::string(kind), std::string(name) }];
+        const auto &versions = history[{std::string(kind), std::string(name)}];
         platform_result<platform_object> result;
         result.failure = failureOf(trouble);
         if (result.failure == platform_failure::none && versions.empty()) {
@@ -73,14 +74,16 @@
         } else if (result.failure == platform_failure::none) {
             result.value = versions[trouble == platform_trouble::stale_read && versions.size() > 1 ? versions.size() - 2 : versions.size() - 1];
         }
-        m_queue.after(1, [handler, result] { handler(result); });
+        m_queue.after(1, [handler, result] {
+            handler(result);
+        });
     }
 
     void put(std::string_view kind, std::string_view name, std::string_view value, std::uint64_t ifVersion, platform_handler<std::uint64_t> handler) override
     {
         const auto trouble = next();
         const auto apply = [this, kind = std::string(kind), name = std::string(name), value = std::string(value), ifVersion] {
-            auto &versions = history[{ kind, name }];
+            auto &versions = history[{kind, name}];
             const std::uint64_t current = versions.empty() ? 0 : versions.back().version;
             platform_result<std::uint64_t> result;
             if (current != ifVersion) {
@@ -93,7 +96,9 @@
             return result;
         };
         if (trouble == platform_trouble::takes_effect_late) {
-            m_queue.after(700, [apply] { apply(); });
+            m_queue.after(700, [apply] {
+                apply();
+            });
         }
         m_queue.after(1, [handler, apply, trouble] {
             platform_result<std::uint64_t> result;
@@ -110,12 +115,12 @@
 
     void list(std::string_view /*kind*/, platform_handler<platform_changes> handler) override
     {
-        handler({ platform_failure::unreachable, 0, {} });
+        handler({platform_failure::unreachable, 0, {}});
     }
 
     void watch(std::string_view /*kind*/, std::uint64_t /*cursor*/, clock_ms /*wait*/, platform_handler<platform_changes> handler) override
     {
-        handler({ platform_failure::unreachable, 0, {} });
+        handler({platform_failure::unreachable, 0, {}});
     }
 
     std::size_t writes() const
@@ -166,9 +171,9 @@
             return true;
         }();
         (void)isQuiet;
-        policies = policy_set().withRankTable({ 3, "first", { { "urgent", true, 100 }, { "late-ok", false, 50 }, { "browse", false, 10 } } });
-        service_policy desk{ 2, "first-desk", "pitchdesk", { { "hold", "pitch-hold", "urgent", { "feebox" }, { 2000 }, false, { 60000 }, 0, true } } };
-        service_policy fees{ 1, "first-fees", "feebox", { { "pay", "fee", "urgent", {}, { 2000 }, false, { 60000 }, 0, true } } };
+        policies = policy_set().withRankTable({3, "first", {{"urgent", true, 100}, {"late-ok", false, 50}, {"browse", false, 10}}});
+        service_policy desk{2, "first-desk", "pitchdesk", {{"hold", "pitch-hold", "urgent", {"feebox"}, {2000}, false, {60000}, 0, true}}};
+        service_policy fees{1, "first-fees", "feebox", {{"pay", "fee", "urgent", {}, {2000}, false, {60000}, 0, true}}};
         policies = policies->withService(desk)->withService(fees);
         platform.write("rank_table", "default", formatRankTable(policies->rankTable()));
         platform.write("service_policy", "pitchdesk", formatServicePolicy(desk));
@@ -185,9 +190,9 @@
         member.server = service.empty() ? server_state::absent : server_state::serving;
         member.configurationDigest = digest;
         view.push_back(member);
-        logs.emplace(host, std::make_unique<refusal_log>(64, clock_ms{ 0 }));
-        generations[host] = { { "rank_table", "default", 3 }, { "service_policy", "pitchdesk", 2 }, { "service_policy", "feebox", 1 } };
-        memory.note(view, clock_ms{ queue.now });
+        logs.emplace(host, std::make_unique<refusal_log>(64, clock_ms{0}));
+        generations[host] = {{"rank_table", "default", 3}, {"service_policy", "pitchdesk", 2}, {"service_policy", "feebox", 1}};
+        memory.note(view, clock_ms{queue.now});
     }
 
     std::shared_ptr<operator_hooks> hooksOf(const std::string &host)
@@ -197,26 +202,49 @@
         for (const member_record &member : view) {
             hooks->dataCenter = member.host == host ? member.dataCenter : hooks->dataCenter;
         }
-        hooks->wallNow = [this] { return clock_ms{ queue.now }; };
+        hooks->wallNow = [this] {
+            return clock_ms{queue.now};
+        };
         hooks->steadyNow = hooks->wallNow;
-        hooks->random = [this] { return random(); };
-        hooks->view = [this] { return std::make_shared<const std::vector<member_record>>(view); };
-        hooks->dataCenters = [this] { return memory.names(clock_ms{ queue.now }); };
-        hooks->upstreams = [] { return std::vector<upstream_state>(1); };
-        hooks->gate = [] { return std::optional(gate_snapshot{ 8, 7, 3, { rank_id{ 0 }, 12 }, "latency_rose", clock_ms{ 0 } }); };
+        hooks->random = [this] {
+            return random();
+        };
+        hooks->view = [this] {
+            return std::make_shared<const std::vector<member_record>>(view);
+        };
+        hooks->dataCenters = [this] {
+            return memory.names(clock_ms{queue.now});
+        };
+        hooks->upstreams = [] {
+            return std::vector<upstream_state>(1);
+        };
+        hooks->gate = [] {
+            return std::optional(gate_snapshot{8, 7, 3, {rank_id{0}, 12}, "latency_rose", clock_ms{0}});
+        };
         hooks->refusals = logs.at(host).get();
-        hooks->policies = [this] { return policies; };
-        hooks->generations = [this, host] { return generations.at(host); };
-        hooks->configurationDigest = [this] { return digest; };
+        hooks->policies = [this] {
+            return policies;
+        };
+        hooks->generations = [this, host] {
+            return generations.at(host);
+        };
+        hooks->configurationDigest = [this] {
+            return digest;
+        };
         hooks->offer = [this](const configuration_object &) {
             ++offers;
             return offer_result::applied;
         };
-        hooks->ask
-            = [this](const member_record &member, std::string query, clock_ms, ask_handler handler) { ask(member.host, std::move(query), std::move(handler)); };
-        hooks->schedule = [this](clock_ms after, std::function<void()> action) { queue.after(after.count, std::move(action)); };
+        hooks->ask = [this](const member_record &member, std::string query, clock_ms, ask_handler handler) {
+            ask(member.host, std::move(query), std::move(handler));
+        };
+        hooks->schedule = [this](clock_ms after, std::function<void()> action) {
+            queue.after(after.count, std::move(action));
+        };
         hooks->platform = &platform;
-        hooks->setDraining = [this, host](bool isDraining) { draining[host] = isDraining; };
+        hooks->setDraining = [this, host](bool isDraining) {
+            draining[host] = isDraining;
+        };
         return hooks;
     }
 
@@ -238,7 +266,7 @@
 
     event_queue queue;
     fake_platform platform;
-    std::mt19937_64 random{ 1 };
+    std::mt19937_64 random{1};
     std::vector<member_record> view;
     std::set<std::string> silent;
     std::map<std::string, std::unique_ptr<refusal_log>> logs;
@@ -255,7 +283,9 @@
         if (silent.contains(host)) {
             return;
         }
-        queue.after(5, [this, host, query = std::move(query), handler = std::move(handler)] { handler(answerAsk(query, *hooksOf(host))); });
+        queue.after(5, [this, host, query = std::move(query), handler = std::move(handler)] {
+            handler(answerAsk(query, *hooksOf(host)));
+        });
     }
 };
 
--- a/tests/unit/operator_fleet_test.cpp
+++ b/tests/unit/operator_fleet_test.cpp
@@ -9,7 +9,8 @@
 using namespace cicadamux;
 using test::operators::fake_fleet;
 
-namespace {
+namespace
+{
 struct fleet_fixture {
     fake_fleet fleet;
 
@@ -24,16 +25,16 @@
     void refuse(int host, std::uint64_t root, outcome_reason reason)
     {
         refusal_record record;
-        record.root = { root };
+        record.root = {root};
         record.service = "pitchdesk";
         record.operation = "hold";
         record.callClass = "pitch-hold";
-        record.rank = { 2 };
+        record.rank = {2};
         record.reason = reason;
         record.rankAdmitted = 1;
         record.queueLength = 4;
         record.limit = 8;
-        fleet.logs.at("host-" + std::to_string(host))->add(record, clock_ms{ fleet.queue.now });
+        fleet.logs.at("host-" + std::to_string(host))->add(record, clock_ms{fleet.queue.now});
     }
 
     void silence(int count)
@@ -51,7 +52,9 @@
 
 const query_row &rowOf(const query_table &table, const std::string &first)
 {
-    const auto found = std::ranges::find(table.rows, query_cell(first), [](const query_row &row) { return row.front(); });
+    const auto found = std::ranges::find(table.rows, query_cell(first), [](const query_row &row) {
+        return row.front();
+    });
     REQUIRE(found != table.rows.end());
     return *found;
 }
@@ -64,9 +67,9 @@
     }
     const query_result all = fleet.run("show refusals for pitchdesk last 1m by reason");
     CHECK(is(all, query_status::ok));
-    CHECK(rowOf(all.tables.at(0), "overloaded")[1] == query_cell(std::int64_t{ 5 }));
-    CHECK(rowOf(fleet.run("show refusals by rank").tables.at(0), "browse")[1] == query_cell(std::int64_t{ 10 }));
-    CHECK(rowOf(fleet.run("show refusals by data-center").tables.at(0), "dc-1")[1] == query_cell(std::int64_t{ 4 }));
+    CHECK(rowOf(all.tables.at(0), "overloaded")[1] == query_cell(std::int64_t{5}));
+    CHECK(rowOf(fleet.run("show refusals by rank").tables.at(0), "browse")[1] == query_cell(std::int64_t{10}));
+    CHECK(rowOf(fleet.run("show refusals by data-center").tables.at(0), "dc-1")[1] == query_cell(std::int64_t{4}));
     silence(5);
     const query_result some = fleet.run("show refusals");
     CHECK(is(some, query_status::partial));
@@ -95,18 +98,20 @@
     std::rotate(fleet.view.begin() + 1, fleet.view.begin() + 50, fleet.view.end()); // The silent ones are the first to be asked.
     const query_result result = fleet.run("show refusals");
     CHECK(result.missing.size() == 900);
-    CHECK(std::ranges::none_of(result.missing, [](const missing_part &part) { return part.dataCenter != "dc-far"; }));
+    CHECK(std::ranges::none_of(result.missing, [](const missing_part &part) {
+        return part.dataCenter != "dc-far";
+    }));
 }
 
 TEST_CASE_FIXTURE(fleet_fixture, "in force is said of a data centre only if all its daemons report it")
 {
     CHECK(is(fleet.run("show in-force pitchdesk"), query_status::ok));
     fleet.view[4].configurationDigest = 1; // host-4 in dc-1 lags.
-    fleet.generations["host-4"] = { { "service_policy", "pitchdesk", 1 } };
+    fleet.generations["host-4"] = {{"service_policy", "pitchdesk", 1}};
     const query_result lagging = fleet.run("show in-force pitchdesk generation 2");
     CHECK(is(lagging, query_status::accepted));
     CHECK(lagging.summary == "not in force everywhere; not yet in dc-1");
-    fleet.generations["host-4"] = { { "service_policy", "pitchdesk", 2 } };
+    fleet.generations["host-4"] = {{"service_policy", "pitchdesk", 2}};
     CHECK(is(fleet.run("show in-force pitchdesk generation 2"), query_status::ok));
     CHECK(is(fleet.run("show in-force pitchdesk generation 3"), query_status::accepted));
     fleet.silent.insert("host-4");
@@ -116,8 +121,10 @@
 
 TEST_CASE_FIXTURE(fleet_fixture, "a data centre that is cut off is named, and in force is never said of it")
 {
-    std::erase_if(fleet.view, [](const member_record &member) { return member.dataCenter == "dc-2"; });
-    const clock_ms cutOff{ fleet.queue.now };
+    std::erase_if(fleet.view, [](const member_record &member) {
+        return member.dataCenter == "dc-2";
+    });
+    const clock_ms cutOff{fleet.queue.now};
     fleet.memory.note(fleet.view, cutOff);
     const query_result result = fleet.run("show in-force ranks generation 3");
     CHECK(is(result, query_status::accepted));
@@ -126,13 +133,13 @@
         CHECK((row[2] == query_cell("dc-2")) == (row[6] == query_cell("unreachable")));
     }
     CHECK(fleet.memory.names(cutOff + dataCenterMemory).size() == 3);
-    CHECK(fleet.memory.names(cutOff + clock_ms{ 1 } + dataCenterMemory).size() == 2);
+    CHECK(fleet.memory.names(cutOff + clock_ms{1} + dataCenterMemory).size() == 2);
 }
 
 TEST_CASE_FIXTURE(fleet_fixture, "drain reaches the host's own daemon, and silence is unknown")
 {
     CHECK(is(fleet.run("drain host-7"), query_status::ok));
-    CHECK(fleet.draining == std::map<std::string, bool>{ { "host-7", true } });
+    CHECK(fleet.draining == std::map<std::string, bool>{{"host-7", true}});
     CHECK(is(fleet.run("undrain host-0"), query_status::ok));
     CHECK_FALSE(fleet.draining["host-0"]);
     fleet.silent.insert("host-8");
@@ -158,7 +165,9 @@
 TEST_CASE_FIXTURE(fleet_fixture, "a daemon answers another only what concerns itself")
 {
     const auto hooks = fleet.hooksOf("host-3");
-    const auto ask = [&hooks](std::string_view query) { return parseResultJson(answerAsk(query, *hooks)); };
+    const auto ask = [&hooks](std::string_view query) {
+        return parseResultJson(answerAsk(query, *hooks));
+    };
     CHECK(is(ask("set rank browse effort 5"), query_status::usage));
     CHECK(is(ask("local set rank browse effort 5"), query_status::usage));
     CHECK(is(ask("local drain host-4"), query_status::not_found));
@@ -174,16 +183,20 @@
     const auto hooks = fleet.hooksOf("host-0");
     hooks->dataCenters = nullptr;
     std::string answer;
-    runQuery("show in-force ranks", hooks, [&answer](std::string json) { answer = std::move(json); });
+    runQuery("show in-force ranks", hooks, [&answer](std::string json) {
+        answer = std::move(json);
+    });
     CHECK(is(parseResultJson(answer), query_status::failed));
 }
 
 TEST_CASE_FIXTURE(fleet_fixture, "a malformed body is answered as a query that isn't understood")
 {
-    for (const std::string body : { "", "[]", "{}", R"({"query":1})", R"({"query":"help","more":1})" }) {
+    for (const std::string body : {"", "[]", "{}", R"({"query":1})", R"({"query":"help","more":1})"}) {
         CAPTURE(body);
         std::string answer;
-        runQueryBody(body, fleet.hooksOf("host-0"), [&answer](std::string json) { answer = std::move(json); });
+        runQueryBody(body, fleet.hooksOf("host-0"), [&answer](std::string json) {
+            answer = std::move(json);
+        });
         CHECK(is(parseResultJson(answer), query_status::usage));
     }
 }
--- a/tests/unit/operator_parser_test.cpp
+++ b/tests/unit/operator_parser_test.cpp
@@ -13,7 +13,8 @@
 
 using namespace cicadamux;
 
-namespace {
+namespace
+{
 parse_fault faultOf(std::string_view line)
 {
     try {
@@ -25,7 +26,7 @@
     return {};
 }
 
-template <typename Command>
+template<typename Command>
 Command parsed(std::string_view line)
 {
     return std::get<Command>(parseCommand(line));
@@ -45,13 +46,13 @@
 {
     const auto refusals = parsed<show_refusals_command>("show  refusals by rank last 90s for pitchdesk");
     CHECK(refusals.service == "pitchdesk");
-    CHECK(refusals.span == clock_ms{ 90'000 });
+    CHECK(refusals.span == clock_ms{90'000});
     CHECK(refusals.by == refusal_grouping::rank);
-    CHECK(parsed<show_refusals_command>("show refusals").span == clock_ms{ 300'000 });
+    CHECK(parsed<show_refusals_command>("show refusals").span == clock_ms{300'000});
     const auto change = parsed<change_command>("preview set operation a/b passes-through c,d from generation 7");
     CHECK(change.previewOnly);
     CHECK(change.fromGeneration == 7);
-    CHECK(std::get<operation_edit>(change.edit).passesThrough == std::vector<std::string>{ "c", "d" });
+    CHECK(std::get<operation_edit>(change.edit).passesThrough == std::vector<std::string>{"c", "d"});
     CHECK(std::get<operation_edit>(parsed<change_command>("set operation a/b passes-through nothing").edit).passesThrough->empty());
     CHECK(std::get<object_edit>(parsed<change_command>(R"(replace ranks {"a": "} {"})").edit).json == R"({"a": "} {"})");
 }
@@ -68,10 +69,10 @@
     CHECK(faultOf("show refusals last soon").problem == "malformed value");
     CHECK(faultOf("set rank browse").problem == "missing word");
     CHECK(faultOf("set rank browse").position == 15);
-    CHECK(faultOf("set rank browse").expected == std::vector<std::string>{ "effort", "protected" });
+    CHECK(faultOf("set rank browse").expected == std::vector<std::string>{"effort", "protected"});
     CHECK(faultOf("why refused 0000000000000000").problem == "malformed value");
     CHECK(faultOf("drain a b").word == "b");
-    CHECK(faultOf("preview show members").expected == std::vector<std::string>{ "set", "replace" });
+    CHECK(faultOf("preview show members").expected == std::vector<std::string>{"set", "replace"});
     CHECK(faultOf("").problem == "missing word");
     CHECK(faultOf("drain a\x01").problem == "malformed line");
     CHECK(faultOf("replace ranks {\"a\":1").problem == "malformed line");
@@ -81,8 +82,8 @@
 
 TEST_CASE("completion offers what may come next")
 {
-    CHECK(nextWords("why") == std::vector<std::string>{ "refused" });
-    CHECK(nextWords("set rank browse") == std::vector<std::string>{ "effort", "protected" });
+    CHECK(nextWords("why") == std::vector<std::string>{"refused"});
+    CHECK(nextWords("set rank browse") == std::vector<std::string>{"effort", "protected"});
     CHECK(nextWords("show refusals by").front() == "reason");
     CHECK(nextWords("show nonsense").empty());
 }
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -15,24 +15,25 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
+namespace
+{
 
 constexpr std::size_t messageBytes = 1'000'000;
-constexpr clock_ms timeLimit{ 500 };
+constexpr clock_ms timeLimit{500};
 
 peer_call someCall()
 {
     peer_call call;
-    call.attempt = call_id{ 7 };
-    call.request.context.root = root_id{ 9 };
-    call.request.context.rank = rank_id{ 1 };
+    call.attempt = call_id{7};
+    call.request.context.root = root_id{9};
+    call.request.context.rank = rank_id{1};
     call.request.context.callClass = "browse";
-    call.request.context.deadline = steadyNow() + clock_ms{ 1'000 };
+    call.request.context.deadline = steadyNow() + clock_ms{1'000};
     call.request.service = "mapview";
     call.request.operation = "browse";
     call.request.method = "GET";
     call.request.target = "/";
-    call.request.headers = { { "accept", "text/html" } };
+    call.request.headers = {{"accept", "text/html"}};
     call.request.body = "body";
     return call;
 }
@@ -42,7 +43,9 @@
 {
     peer_client client(messageBytes);
     std::promise<std::pair<peer_failure, peer_reply>> ended;
-    client.call(address, someCall(), timeLimit, [&ended](peer_failure failure, peer_reply reply) { ended.set_value({ failure, std::move(reply) }); });
+    client.call(address, someCall(), timeLimit, [&ended](peer_failure failure, peer_reply reply) {
+        ended.set_value({failure, std::move(reply)});
+    });
     return ended.get_future().get();
 }
 
@@ -103,9 +106,13 @@
     });
     peer_client client(messageBytes);
     std::promise<peer_failure> ended;
-    client.call(server->address(), someCall(), clock_ms{ 5'000 }, [&ended](peer_failure failure, const peer_reply &) { ended.set_value(failure); });
+    client.call(server->address(), someCall(), clock_ms{5'000}, [&ended](peer_failure failure, const peer_reply &) {
+        ended.set_value(failure);
+    });
     received.get_future().wait();
-    std::thread stopping([&server] { server.reset(); });
+    std::thread stopping([&server] {
+        server.reset();
+    });
     CHECK(ended.get_future().get() == peer_failure::lost);
     kept({});
     stopping.join();
@@ -115,7 +122,7 @@
 {
     replying_server confused([](const peer_call &, const std::function<void(peer_reply)> &handler) {
         peer_reply reply;
-        reply.attempt = call_id{ 8 };
+        reply.attempt = call_id{8};
         reply.result.outcome = call_outcome::answered;
         handler(std::move(reply));
     });
@@ -152,11 +159,21 @@
         change(message);
         CHECK_THROWS_AS(decodeCall(message, now), peer_format_error);
     };
-    broken([](auto &message) { message.set_rank(255); });
-    broken([](auto &message) { message.set_depth(200); });
-    broken([](auto &message) { message.set_retry_allowance(1'000'000); });
-    broken([](auto &message) { message.set_root(0); });
-    broken([](auto &message) { message.set_attempt(0); });
+    broken([](auto &message) {
+        message.set_rank(255);
+    });
+    broken([](auto &message) {
+        message.set_depth(200);
+    });
+    broken([](auto &message) {
+        message.set_retry_allowance(1'000'000);
+    });
+    broken([](auto &message) {
+        message.set_root(0);
+    });
+    broken([](auto &message) {
+        message.set_attempt(0);
+    });
     wire::Call_Reply reply;
     reply.set_outcome(77);
     CHECK_THROWS_AS(decodeReply(std::move(reply)), peer_format_error);
--- a/tests/unit/platform_http_test.cpp
+++ b/tests/unit/platform_http_test.cpp
@@ -16,8 +16,9 @@
 using namespace cicadamux;
 using namespace cicadamux::test;
 
-namespace {
-constexpr clock_ms shortTimeout{ 300 };
+namespace
+{
+constexpr clock_ms shortTimeout{300};
 using answer_script = std::function<void(const std::shared_ptr<http_exchange> &)>;
 
 /** A client and, on the same thread, the server that it talks to. */
@@ -25,9 +26,15 @@
 {
 public:
     explicit client_fixture(answer_script script, std::uint32_t callsPerMinute = 1'000)
-        : m_server(m_context, "127.0.0.1:0", [script = std::move(script)](const std::shared_ptr<http_exchange> &exchange) { script(exchange); })
-        , client(makePlatformHttpClient(m_context, { m_server.address(), shortTimeout, callsPerMinute }))
-        , m_thread([this] { m_context.run(); })
+        : m_server(m_context,
+                   "127.0.0.1:0",
+                   [script = std::move(script)](const std::shared_ptr<http_exchange> &exchange) {
+                       script(exchange);
+                   })
+        , client(makePlatformHttpClient(m_context, {m_server.address(), shortTimeout, callsPerMinute}))
+        , m_thread([this] {
+            m_context.run();
+        })
     {
     }
 
@@ -46,35 +53,45 @@
 
     platform_result<platform_object> get(const std::string &name)
     {
-        return wait<platform_object>([&](auto handler) { client->get("service_policy", name, handler); });
+        return wait<platform_object>([&](auto handler) {
+            client->get("service_policy", name, handler);
+        });
     }
 
     platform_result<std::uint64_t> put(const std::string &value, std::uint64_t ifVersion)
     {
-        return wait<std::uint64_t>([&](auto handler) { client->put("service_policy", "feebox", value, ifVersion, handler); });
+        return wait<std::uint64_t>([&](auto handler) {
+            client->put("service_policy", "feebox", value, ifVersion, handler);
+        });
     }
 
     platform_result<platform_changes> watch(std::uint64_t cursor)
     {
-        return wait<platform_changes>([&](auto handler) { client->watch("service_policy", cursor, { 10 }, handler); });
+        return wait<platform_changes>([&](auto handler) {
+            client->watch("service_policy", cursor, {10}, handler);
+        });
     }
 
     platform_result<platform_changes> list()
     {
-        return wait<platform_changes>([&](auto handler) { client->list("service_policy", handler); });
+        return wait<platform_changes>([&](auto handler) {
+            client->list("service_policy", handler);
+        });
     }
 
 private:
-    template <typename Value, typename Begin>
+    template<typename Value, typename Begin>
     platform_result<Value> wait(Begin begin)
     {
         std::promise<platform_result<Value>> promise;
-        begin([&](platform_result<Value> result) { promise.set_value(std::move(result)); });
+        begin([&](platform_result<Value> result) {
+            promise.set_value(std::move(result));
+        });
         return promise.get_future().get();
     }
 
     boost::asio::io_context m_context;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard{ m_context.get_executor() };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard{m_context.get_executor()};
     http_server m_server;
 
 public:
@@ -98,7 +115,7 @@
 }
 
 /** @return The failure's name, which doctest can print. */
-template <typename Value>
+template<typename Value>
 std::string failureOf(const platform_result<Value> &result)
 {
     return std::string(toString(result.failure));
@@ -107,12 +124,16 @@
 /** Always sends the same bytes. */
 answer_script sendBytes(const std::string &bytes, bool closeAfter)
 {
-    return [=](const std::shared_ptr<http_exchange> &exchange) { exchange->answerBytes(bytes, closeAfter); };
+    return [=](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->answerBytes(bytes, closeAfter);
+    };
 }
 
 answer_script sendAnswer(unsigned status, const std::string &body)
 {
-    return [=](const std::shared_ptr<http_exchange> &exchange) { exchange->answer(makeAnswer(status, body)); };
+    return [=](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->answer(makeAnswer(status, body));
+    };
 }
 } // namespace
 
@@ -129,7 +150,7 @@
     CHECK(list.value.cursor == 5);
     CHECK(list.value.items.size() == 1);
     const auto changes = client_fixture(sendAnswer(200, R"({"cursor":6,"items":[],"deleted":["mapview"]})")).watch(5);
-    CHECK(changes.value.deleted == std::vector<std::string>{ "mapview" });
+    CHECK(changes.value.deleted == std::vector<std::string>{"mapview"});
     CHECK(failureOf(client_fixture(sendAnswer(410, "{}")).watch(5)) == "cursor_too_old");
 }
 
@@ -161,21 +182,29 @@
     http_server closed(context, "127.0.0.1:0", {});
     const std::string address = closed.address();
     closed.stop();
-    const auto client = makePlatformHttpClient(context, { address, shortTimeout, 10 });
+    const auto client = makePlatformHttpClient(context, {address, shortTimeout, 10});
     platform_failure failure = platform_failure::none;
-    client->put("service_policy", "feebox", "{}", 0, [&](const auto &result) { failure = result.failure; });
+    client->put("service_policy", "feebox", "{}", 0, [&](const auto &result) {
+        failure = result.failure;
+    });
     context.run();
     CHECK(toString(failure) == "unreachable");
 
-    CHECK(failureOf(client_fixture([](const auto &exchange) { exchange->close(); }).put("{}", 7)) == "connection_lost");
+    CHECK(failureOf(client_fixture([](const auto &exchange) {
+                        exchange->close();
+                    }).put("{}", 7))
+          == "connection_lost");
     CHECK(failureOf(client_fixture(sendBytes("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{", true)).put("{}", 7)) == "connection_lost");
     std::shared_ptr<http_exchange> unanswered;
-    CHECK(failureOf(client_fixture([&](const auto &exchange) { unanswered = exchange; }).put("{}", 7)) == "timeout");
+    CHECK(failureOf(client_fixture([&](const auto &exchange) {
+                        unanswered = exchange;
+                    }).put("{}", 7))
+          == "timeout");
 }
 
 TEST_CASE("a duplicated answer is never taken for another call's")
 {
-    std::atomic<int> version{ 0 };
+    std::atomic<int> version{0};
     client_fixture fixture([&](const std::shared_ptr<http_exchange> &exchange) {
         const std::string body = exchange->request().method == "PUT" ? R"({"version":)" + std::to_string(++version) + "}" : objectBody("feebox", ++version);
         const std::string bytes = http_server::format(makeAnswer(200, body));
@@ -216,7 +245,7 @@
 
 TEST_CASE("calls over the budget aren't sent")
 {
-    std::atomic<int> served{ 0 };
+    std::atomic<int> served{0};
     client_fixture fixture(
         [&](const std::shared_ptr<http_exchange> &exchange) {
             ++served;
@@ -232,10 +261,10 @@
 
 TEST_CASE("the budget fills again with time, to one minute's calls at most")
 {
-    call_budget budget(60, { 0 });
+    call_budget budget(60, {0});
     const auto takeAll = [&](std::int64_t now) {
         int taken = 0;
-        while (budget.take({ now })) {
+        while (budget.take({now})) {
             ++taken;
         }
         return taken;
--- a/tests/unit/retry_budget_test.cpp
+++ b/tests/unit/retry_budget_test.cpp
@@ -20,7 +20,7 @@
         const std::string caller = "10.0.0." + std::to_string(seed);
         std::uint64_t firsts = 0;
         std::uint64_t repeats = 0;
-        clock_ms now{ 1'000 };
+        clock_ms now{1'000};
         while (firsts < 200) {
             const std::uint64_t request = random();
             REQUIRE(budget.admit(caller, request, now));
@@ -43,18 +43,18 @@
 {
     caller_budget budget;
     for (std::uint64_t request = 0; request < 500; ++request) {
-        REQUIRE(budget.admit("a", request, { 0 }));
+        REQUIRE(budget.admit("a", request, {0}));
         if (request % 20 == 0) {
-            budget.noteUnanswered("a", request, { 0 });
-            REQUIRE(budget.admit("a", request, { 10 }));
+            budget.noteUnanswered("a", request, {0});
+            REQUIRE(budget.admit("a", request, {10}));
         }
     }
     for (int repeat = 0; repeat < 50; ++repeat) {
-        budget.noteUnanswered("b", 1, { 0 });
-        budget.admit("b", 1, { 0 });
+        budget.noteUnanswered("b", 1, {0});
+        budget.admit("b", 1, {0});
     }
-    CHECK_FALSE(budget.admit("b", 1, { 0 }));
-    CHECK(budget.admit("c", 1, { 0 }));
-    CHECK(budget.admit("b", 2, { 0 }));
-    CHECK(budget.admit("b", 1, { 10'000 }));
+    CHECK_FALSE(budget.admit("b", 1, {0}));
+    CHECK(budget.admit("c", 1, {0}));
+    CHECK(budget.admit("b", 2, {0}));
+    CHECK(budget.admit("b", 1, {10'000}));
 }
--- a/tests/unit/retry_ledger_test.cpp
+++ b/tests/unit/retry_ledger_test.cpp
@@ -16,7 +16,8 @@
 
 using namespace cicadamux;
 
-namespace {
+namespace
+{
 constexpr std::size_t daemonCount = 6;
 constexpr int maxDepth = 8;
 constexpr std::size_t maxCalls = 400; ///< Of one tree.
@@ -98,7 +99,7 @@
 
     void callChild(std::size_t index, std::uint64_t key)
     {
-        const child_grant grant = ledgerOf(index).openChild(m_calls[index].id, { key }, static_cast<lent_part>(below(3)));
+        const child_grant grant = ledgerOf(index).openChild(m_calls[index].id, {key}, static_cast<lent_part>(below(3)));
         if (!grant.allowed) {
             return;
         }
@@ -153,25 +154,25 @@
 TEST_CASE("an unspent part comes back, a lost one doesn't")
 {
     retry_ledger ledger;
-    const call_id parent{ 1 };
+    const call_id parent{1};
     ledger.open(parent, 5);
-    const child_grant first = ledger.openChild(parent, { 10 });
+    const child_grant first = ledger.openChild(parent, {10});
     CHECK(first.part == 3);
     ledger.closeChild(parent, first.part, 2);
     CHECK(ledger.left(parent) == 4);
-    const child_grant second = ledger.openChild(parent, { 11 });
+    const child_grant second = ledger.openChild(parent, {11});
     ledger.closeChild(parent, second.part, 0);
     CHECK(ledger.left(parent) == 2);
-    ledger.openChild(parent, { 12 });
-    CHECK(ledger.openChild(parent, { 13 }, lent_part::none).part == 0);
-    CHECK(ledger.openChild(parent, { 14 }, lent_part::all).part == 1);
+    ledger.openChild(parent, {12});
+    CHECK(ledger.openChild(parent, {13}, lent_part::none).part == 0);
+    CHECK(ledger.openChild(parent, {14}, lent_part::all).part == 1);
     CHECK(ledger.close(parent) == 0);
 }
 
 TEST_CASE("a repeat draws from the allowance, also while the first attempt is in flight")
 {
     retry_ledger ledger;
-    const call_id parent{ 1 };
+    const call_id parent{1};
     ledger.open(parent, 2);
     const child_key key = makeChildKey("feebox", "pay", "POST", "/fees", "7");
     CHECK_FALSE(ledger.openChild(parent, key).isRepeat);
@@ -179,43 +180,43 @@
     CHECK((repeat.allowed && repeat.isRepeat));
     CHECK_FALSE(ledger.openChild(parent, key).allowed);
     CHECK(ledger.openChild(parent, makeChildKey("feebox", "pay", "POST", "/fees", "8")).allowed);
-    CHECK_FALSE(ledger.openChild({ 2 }, key).allowed);
+    CHECK_FALSE(ledger.openChild({2}, key).allowed);
 }
 
 TEST_CASE("distinct children beyond the bound count as repeats")
 {
     retry_ledger ledger;
-    ledger.open({ 1 }, 1);
+    ledger.open({1}, 1);
     for (std::uint64_t key = 0; key < 256; ++key) {
-        const child_grant grant = ledger.openChild({ 1 }, { key });
+        const child_grant grant = ledger.openChild({1}, {key});
         REQUIRE(grant.allowed);
-        ledger.closeChild({ 1 }, grant.part, grant.part);
+        ledger.closeChild({1}, grant.part, grant.part);
     }
-    CHECK(ledger.openChild({ 1 }, { 256 }).isRepeat);
-    CHECK_FALSE(ledger.openChild({ 1 }, { 257 }).allowed);
+    CHECK(ledger.openChild({1}, {256}).isRepeat);
+    CHECK_FALSE(ledger.openChild({1}, {257}).allowed);
 }
 
 TEST_CASE("threads that lend, spend and return share one allowance")
 {
     constexpr std::uint32_t allowance = 1'000'000;
     retry_ledger ledger;
-    ledger.open({ 1 }, allowance);
-    std::atomic<std::uint32_t> spent{ 0 };
+    ledger.open({1}, allowance);
+    std::atomic<std::uint32_t> spent{0};
     std::vector<std::thread> threads;
     threads.reserve(4);
     for (std::uint64_t key = 0; key < 4; ++key) {
         threads.emplace_back([&, key] {
             for (int round = 0; round < 50'000; ++round) {
-                const child_grant grant = ledger.openChild({ 1 }, { key });
+                const child_grant grant = ledger.openChild({1}, {key});
                 spent += grant.isRepeat && grant.allowed ? 1 : 0;
                 spent += grant.part > 0 ? 1 : 0;
-                ledger.closeChild({ 1 }, grant.part, grant.part > 0 ? grant.part - 1 : 0);
-                spent += ledger.spend({ 1 }) ? 1 : 0;
+                ledger.closeChild({1}, grant.part, grant.part > 0 ? grant.part - 1 : 0);
+                spent += ledger.spend({1}) ? 1 : 0;
             }
         });
     }
     for (std::thread &each : threads) {
         each.join();
     }
-    CHECK(spent + ledger.close({ 1 }) == allowance);
+    CHECK(spent + ledger.close({1}) == allowance);
 }
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -17,10 +17,11 @@
 
 using namespace cicadamux;
 
-namespace {
-constexpr clock_ms warm{ 100'000 }; ///< Long after all upstreams started.
-const upstream_report good{ true, false, 0, 0, 0 };
-const upstream_report bad{ false, true, 0, 0, 0 };
+namespace
+{
+constexpr clock_ms warm{100'000}; ///< Long after all upstreams started.
+const upstream_report good{true, false, 0, 0, 0};
+const upstream_report bad{false, true, 0, 0, 0};
 
 upstream makeUpstream(int number, const std::string &dataCenter = "tbs-1")
 {
@@ -45,7 +46,9 @@
 
 random_source seeded(std::uint64_t seed)
 {
-    return [engine = std::make_shared<std::mt19937_64>(seed)] { return (*engine)(); };
+    return [engine = std::make_shared<std::mt19937_64>(seed)] {
+        return (*engine)();
+    };
 }
 
 router_settings atHost(const std::string &host, std::uint32_t subsetSize = 16)
@@ -88,16 +91,16 @@
 TEST_CASE("the own data centre comes first and spills over only while it is full")
 {
     router routes(atHost("caller"), seeded(1));
-    const std::vector<upstream> all = { makeUpstream(0), makeUpstream(1), makeUpstream(2, "tbs-2") };
+    const std::vector<upstream> all = {makeUpstream(0), makeUpstream(1), makeUpstream(2, "tbs-2")};
     routes.setUpstreams(all, warm);
     CHECK(tally(routes, warm).count("host-2") == 0);
-    endMany(routes, "host-0", { true, false, 10, 5, 10 }, 1, warm);
-    CHECK(tally(routes, warm) == std::map<std::string, int>{ { "host-1", 2'000 } });
-    endMany(routes, "host-1", { true, false, 10, 5, 10 }, 1, warm);
-    CHECK(tally(routes, warm) == std::map<std::string, int>{ { "host-2", 2'000 } });
-    CHECK(tally(routes, warm, 10, { "host-2" }).count("") == 0);
-    CHECK(tally(routes, warm + clock_ms{ 300 }).count("host-2") == 0);
-    CHECK(tally(routes, warm, 10, { "host-0", "host-1", "host-2" }).at("") == 10);
+    endMany(routes, "host-0", {true, false, 10, 5, 10}, 1, warm);
+    CHECK(tally(routes, warm) == std::map<std::string, int>{{"host-1", 2'000}});
+    endMany(routes, "host-1", {true, false, 10, 5, 10}, 1, warm);
+    CHECK(tally(routes, warm) == std::map<std::string, int>{{"host-2", 2'000}});
+    CHECK(tally(routes, warm, 10, {"host-2"}).count("") == 0);
+    CHECK(tally(routes, warm + clock_ms{300}).count("host-2") == 0);
+    CHECK(tally(routes, warm, 10, {"host-0", "host-1", "host-2"}).at("") == 10);
 }
 
 TEST_CASE("a draining upstream is found, but never chosen")
@@ -108,7 +111,7 @@
     routes.setUpstreams(all, warm);
     CHECK(routes.find("pitchdesk", "host-1")->draining);
     CHECK(tally(routes, warm).count("host-1") == 0);
-    CHECK(tally(routes, warm, 10, { "host-0", "host-2" }).at("") == 10);
+    CHECK(tally(routes, warm, 10, {"host-0", "host-2"}).at("") == 10);
     CHECK_FALSE(routes.choose("feebox", {}, warm).has_value());
     routes.ended("feebox", "host-9", good, warm);
 }
@@ -124,13 +127,13 @@
     std::uint32_t mostInFlight = 0;
     for (std::int64_t now = warm.count; now < warm.count + calls; ++now) {
         while (!ends.empty() && ends.top().first <= now) {
-            routes.ended("pitchdesk", ends.top().second, good, { now });
+            routes.ended("pitchdesk", ends.top().second, good, {now});
             ends.pop();
         }
-        const std::string host = routes.choose("pitchdesk", {}, { now })->host;
+        const std::string host = routes.choose("pitchdesk", {}, {now})->host;
         routes.sent("pitchdesk", host);
         ends.emplace(now + (host == "host-0" ? 200 : 40), host);
-        for (const upstream_state &each : routes.states({ now })) {
+        for (const upstream_state &each : routes.states({now})) {
             mostInFlight = std::max(mostInFlight, each.inFlight);
         }
     }
@@ -180,14 +183,14 @@
     all[0].servingSince = warm;
     routes.setUpstreams(all, warm);
     const int cold = tally(routes, warm)["host-0"];
-    const int half = tally(routes, warm + clock_ms{ 2'500 })["host-0"];
-    const int full = tally(routes, warm + clock_ms{ 5'000 })["host-0"];
+    const int half = tally(routes, warm + clock_ms{2'500})["host-0"];
+    const int full = tally(routes, warm + clock_ms{5'000})["host-0"];
     CHECK(cold > 0);
     CHECK(cold <= 100); // A tenth of the full share is 50.
     CHECK((half > cold && half <= 400)); // 275.
     CHECK((full > 400 && full < 600));
 
-    const std::vector<upstream> pair = { all[0], makeUpstream(9, "tbs-2") };
+    const std::vector<upstream> pair = {all[0], makeUpstream(9, "tbs-2")};
     router lone(atHost("caller"), seeded(1));
     lone.setUpstreams(pair, warm);
     CHECK(tally(lone, warm)["host-0"] <= 400); // A tenth is 200; the rest spills over.
@@ -206,19 +209,19 @@
     endMany(routes, "host-0", bad, 4, warm);
     CHECK(ejectedCount(routes, warm) == 0);
     endMany(routes, "host-0", bad, 1, warm);
-    CHECK(tally(routes, warm + clock_ms{ 999 }).count("host-0") == 0);
-    CHECK(tally(routes, warm + clock_ms{ 1'000 })["host-0"] == 1);
-    endMany(routes, "host-0", bad, 1, warm + clock_ms{ 1'000 });
-    CHECK(tally(routes, warm + clock_ms{ 2'999 }).count("host-0") == 0);
-    CHECK(tally(routes, warm + clock_ms{ 3'000 })["host-0"] == 1);
-    endMany(routes, "host-0", good, 1, warm + clock_ms{ 3'000 });
-    CHECK(tally(routes, warm + clock_ms{ 3'000 })["host-0"] > 400);
+    CHECK(tally(routes, warm + clock_ms{999}).count("host-0") == 0);
+    CHECK(tally(routes, warm + clock_ms{1'000})["host-0"] == 1);
+    endMany(routes, "host-0", bad, 1, warm + clock_ms{1'000});
+    CHECK(tally(routes, warm + clock_ms{2'999}).count("host-0") == 0);
+    CHECK(tally(routes, warm + clock_ms{3'000})["host-0"] == 1);
+    endMany(routes, "host-0", good, 1, warm + clock_ms{3'000});
+    CHECK(tally(routes, warm + clock_ms{3'000})["host-0"] > 400);
     for (int number = 0; number < 10; ++number) {
         endMany(routes, "host-1", bad, 1, warm);
         endMany(routes, "host-1", good, 1, warm);
     }
     CHECK(ejectedCount(routes, warm) == 1);
-    CHECK(tally(routes, warm, 10, { "host-0", "host-2", "host-3" })["host-1"] == 10);
+    CHECK(tally(routes, warm, 10, {"host-0", "host-2", "host-3"})["host-1"] == 10);
 }
 
 TEST_CASE("random views, failures and exclusions: nothing forbidden is chosen, and ejections stay bounded")
@@ -265,11 +268,11 @@
                 REQUIRE(std::ranges::find(excluded, chosen->host) == excluded.end());
                 routes.sent("pitchdesk", chosen->host);
             }
-            const upstream_report report{ random() % 2 == 0,
-                                          random() % 2 == 0,
-                                          static_cast<std::uint32_t>(random() % 20),
-                                          static_cast<std::uint32_t>(random() % 3),
-                                          static_cast<std::uint32_t>(random() % 20) };
+            const upstream_report report{random() % 2 == 0,
+                                         random() % 2 == 0,
+                                         static_cast<std::uint32_t>(random() % 20),
+                                         static_cast<std::uint32_t>(random() % 3),
+                                         static_cast<std::uint32_t>(random() % 20)};
             endMany(routes, host, report, static_cast<int>(random() % 6), now);
             REQUIRE(ejectedCount(routes, now) * 100 <= serving * 34);
         }
@@ -281,10 +284,10 @@
     router routes(atHost("caller"), threadRandom);
     std::vector<upstream> all = makeUpstreams(6);
     routes.setUpstreams(all, warm);
-    std::atomic<std::uint64_t> epoch{ 0 }; ///< Odd while the table is being changed; twice the number of changes otherwise.
-    std::atomic<int> drained{ -1 };
-    std::atomic<bool> stop{ false };
-    std::atomic<int> faults{ 0 };
+    std::atomic<std::uint64_t> epoch{0}; ///< Odd while the table is being changed; twice the number of changes otherwise.
+    std::atomic<int> drained{-1};
+    std::atomic<bool> stop{false};
+    std::atomic<int> faults{0};
     std::vector<std::thread> threads;
     threads.reserve(3);
     for (int number = 0; number < 3; ++number) {
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -12,7 +12,8 @@
 
 using namespace cicadamux;
 
-namespace {
+namespace
+{
 constexpr std::string_view smallest = R"({"host":"host-a1","data_center":"tbs-1","local":{"address":"127.0.0.1:0"},
   "peer":{"address":"127.0.0.1:0"},"admin":{"address":"127.0.0.1:0"},"fleet_key":"0123456789abcdef"})";
 
@@ -65,11 +66,11 @@
     auto json = document();
     put(json, "gate.max_waiting", 7);
     put(json, "membership.probe_period_ms", 250);
-    put(json, "seeds", { "127.0.0.1:7003", "10.0.0.9:65535" });
+    put(json, "seeds", {"127.0.0.1:7003", "10.0.0.9:65535"});
     put(json, "log.level", "debug");
     const daemon_settings changed = parseSettings(boost::json::serialize(json));
     CHECK(changed.gate.maxWaiting == 7);
-    CHECK(changed.membership.probePeriod == clock_ms{ 250 });
+    CHECK(changed.membership.probePeriod == clock_ms{250});
     CHECK(changed.seeds.size() == 2);
     CHECK(changed.logLevel == log_level::debug);
 }
@@ -79,24 +80,24 @@
     CHECK(faultsOf(std::string(R"({"host":"Host A","data_center":3,"edge":{"address":"localhost:80","adress":""},"local":{"address":"127.0.0.1"},
       "peer":"127.0.0.1:1","admin":{"address":"127.0.0.1:65536"},"fleet_key":"short","seeds":["127.0.0.1:1","::1:2"],
       "gate":{"max_waiting":0,"initial_limit":2.5,"min_limit":9,"max_limit":8},"log":{"level":"loud"},"color":1})"))
-          == std::vector<std::string>{ "host: malformed",
-                                       "data_center: wrong type",
-                                       "edge.address: malformed",
-                                       "edge.adress: unknown key",
-                                       "local.address: malformed",
-                                       "peer: wrong type",
-                                       "admin.address: malformed",
-                                       "fleet_key: malformed",
-                                       "seeds: malformed",
-                                       "gate.max_waiting: out of range",
-                                       "gate.initial_limit: wrong type",
-                                       "log.level: unknown value",
-                                       "color: unknown key",
-                                       "peer.address: missing",
-                                       "gate.min_limit: out of range",
-                                       "gate.initial_limit: out of range" });
+          == std::vector<std::string>{"host: malformed",
+                                      "data_center: wrong type",
+                                      "edge.address: malformed",
+                                      "edge.adress: unknown key",
+                                      "local.address: malformed",
+                                      "peer: wrong type",
+                                      "admin.address: malformed",
+                                      "fleet_key: malformed",
+                                      "seeds: malformed",
+                                      "gate.max_waiting: out of range",
+                                      "gate.initial_limit: wrong type",
+                                      "log.level: unknown value",
+                                      "color: unknown key",
+                                      "peer.address: missing",
+                                      "gate.min_limit: out of range",
+                                      "gate.initial_limit: out of range"});
     CHECK(faultsOf(std::string("{")).size() == 1);
-    CHECK(faultsOf(std::string("7")) == std::vector<std::string>{ "(document): wrong type" });
+    CHECK(faultsOf(std::string("7")) == std::vector<std::string>{"(document): wrong type"});
     CHECK_THROWS_AS(loadSettings("no/such/file"), settings_error);
 }
 
@@ -107,7 +108,7 @@
             continue;
         }
         CAPTURE(row.path);
-        for (const double beyond : { row.least - 1, row.most + 1 }) {
+        for (const double beyond : {row.least - 1, row.most + 1}) {
             auto json = document();
             put(json, row.path, static_cast<std::int64_t>(beyond));
             const auto faults = faultsOf(json);
@@ -115,7 +116,7 @@
         }
         auto json = document();
         put(json, row.path, "7");
-        CHECK(faultsOf(json) == std::vector<std::string>{ std::string(row.path) + ": wrong type" });
+        CHECK(faultsOf(json) == std::vector<std::string>{std::string(row.path) + ": wrong type"});
     }
 }
 
--- a/tests/unit/ticket_home_test.cpp
+++ b/tests/unit/ticket_home_test.cpp
@@ -14,13 +14,14 @@
 
 using namespace cicadamux;
 
-namespace {
-constexpr incarnation_id firstLife{ 7 };
+namespace
+{
+constexpr incarnation_id firstLife{7};
 constexpr std::size_t capacity = 64;
 
 ticket makeTicket(std::uint64_t nonce, clock_ms expiry, incarnation_id life = firstLife)
 {
-    return { nonce, "host-a", life, "pitchdesk", "hold", expiry };
+    return {nonce, "host-a", life, "pitchdesk", "hold", expiry};
 }
 
 std::shared_ptr<const call_result> makeAnswer(const std::string &body)
@@ -33,7 +34,7 @@
 
 std::shared_ptr<const call_result> makeNotRun()
 {
-    return std::make_shared<const call_result>(makeRefused({ outcome_reason::overloaded, {}, {}, {}, {} }, 0));
+    return std::make_shared<const call_result>(makeRefused({outcome_reason::overloaded, {}, {}, {}, {}}, 0));
 }
 
 /** One life of the daemon of host-a; several may be up at a time, as two views of the members may have it. */
@@ -83,7 +84,7 @@
     void step(std::size_t action)
     {
         if (action < 12 || m_tickets.empty()) {
-            m_tickets.push_back(makeTicket(m_tickets.size() + 1, m_wall + clock_ms{ ticketLifetime }, m_lives[below(m_lives.size())].life));
+            m_tickets.push_back(makeTicket(m_tickets.size() + 1, m_wall + clock_ms{ticketLifetime}, m_lives[below(m_lives.size())].life));
         } else if (action < 45) {
             call(anyTicket(), below(m_lives.size()));
         } else if (action < 75) {
@@ -107,11 +108,12 @@
     void call(const ticket &subject, std::size_t life)
     {
         const std::uint64_t nonce = subject.nonce;
-        const ticket_begin decision
-            = m_lives[life].home->begin(subject, m_wall, [this, nonce](const std::shared_ptr<const call_result> &result) { checkOutcome(nonce, *result); });
+        const ticket_begin decision = m_lives[life].home->begin(subject, m_wall, [this, nonce](const std::shared_ptr<const call_result> &result) {
+            checkOutcome(nonce, *result);
+        });
         if (decision.verdict == ticket_verdict::run) {
             REQUIRE(m_lives[life].life == subject.homeIncarnation);
-            m_held.push_back({ subject, life, false });
+            m_held.push_back({subject, life, false});
         } else if (decision.verdict == ticket_verdict::repeat) {
             checkOutcome(nonce, *decision.result);
         } else if (decision.verdict == ticket_verdict::refuse && outcomeOf(decision.reason) == call_outcome::not_run) {
@@ -179,8 +181,8 @@
 
     void startLife()
     {
-        const incarnation_id life{ firstLife.value + m_started++ };
-        m_lives.push_back({ life, std::make_unique<ticket_home>("host-a", life, m_capacity) });
+        const incarnation_id life{firstLife.value + m_started++};
+        m_lives.push_back({life, std::make_unique<ticket_home>("host-a", life, m_capacity)});
     }
 
     void killOrStart()
@@ -189,7 +191,9 @@
             startLife();
             return;
         }
-        std::erase_if(m_held, [](const held_ticket &held) { return held.life == 0; });
+        std::erase_if(m_held, [](const held_ticket &held) {
+            return held.life == 0;
+        });
         for (held_ticket &held : m_held) {
             --held.life;
         }
@@ -210,7 +214,7 @@
 
     std::mt19937_64 m_random;
     std::size_t m_capacity;
-    clock_ms m_wall{ 1'000'000'000 };
+    clock_ms m_wall{1'000'000'000};
     std::uint64_t m_started = 0;
     std::vector<home_life> m_lives;
     std::vector<ticket> m_tickets;
@@ -243,10 +247,10 @@
         threads.emplace_back([&, seed] {
             std::mt19937_64 random(seed);
             for (std::uint64_t nonce = 0; nonce < ticketCount; ++nonce) {
-                const ticket subject = makeTicket(nonce, { ticketLifetime });
+                const ticket subject = makeTicket(nonce, {ticketLifetime});
                 if (random() % 3 == 0) {
-                    voids[nonce] += home.voidTicket(subject, { 0 }) ? 1 : 0;
-                } else if (home.begin(subject, { 0 }, {}).verdict == ticket_verdict::run && home.confirmSend(subject, { 0 })) {
+                    voids[nonce] += home.voidTicket(subject, {0}) ? 1 : 0;
+                } else if (home.begin(subject, {0}, {}).verdict == ticket_verdict::run && home.confirmSend(subject, {0})) {
                     ++runs[nonce];
                 }
             }
@@ -263,72 +267,78 @@
 TEST_CASE("repeats wait for the outcome, and an expired ticket that ran still gets it")
 {
     ticket_home home("host-a", firstLife, capacity);
-    const ticket subject = makeTicket(1, { 1'000 });
-    CHECK(home.begin(subject, { 0 }, {}).verdict == ticket_verdict::run);
-    CHECK(home.confirmSend(subject, { 999 }));
-    CHECK_FALSE(home.voidTicket(subject, { 999 }));
+    const ticket subject = makeTicket(1, {1'000});
+    CHECK(home.begin(subject, {0}, {}).verdict == ticket_verdict::run);
+    CHECK(home.confirmSend(subject, {999}));
+    CHECK_FALSE(home.voidTicket(subject, {999}));
     int told = 0;
     for (int waiter = 0; waiter < 16; ++waiter) {
-        CHECK(home.begin(subject, { 2'000 }, [&](const auto &result) { told += result->body == "x" ? 1 : 0; }).verdict == ticket_verdict::wait);
+        CHECK(home.begin(subject,
+                         {2'000},
+                         [&](const auto &result) {
+                             told += result->body == "x" ? 1 : 0;
+                         })
+                  .verdict
+              == ticket_verdict::wait);
     }
-    const ticket_begin beyond = home.begin(subject, { 2'000 }, {});
+    const ticket_begin beyond = home.begin(subject, {2'000}, {});
     CHECK((beyond.verdict == ticket_verdict::refuse && outcomeOf(beyond.reason) == call_outcome::unknown));
     home.finish(subject, makeAnswer("x"));
     CHECK(told == 16);
-    home.tick({ 60'999 });
-    CHECK(home.begin(subject, { 60'999 }, {}).result->body == "x");
-    home.tick({ 61'000 });
-    CHECK((home.begin(subject, { 61'000 }, {}).reason == outcome_reason::ticket_home_gone));
-    CHECK_FALSE(home.voidTicket(subject, { 0 }));
-    CHECK((home.begin(subject, { 0 }, {}).reason == outcome_reason::ticket_home_gone));
+    home.tick({60'999});
+    CHECK(home.begin(subject, {60'999}, {}).result->body == "x");
+    home.tick({61'000});
+    CHECK((home.begin(subject, {61'000}, {}).reason == outcome_reason::ticket_home_gone));
+    CHECK_FALSE(home.voidTicket(subject, {0}));
+    CHECK((home.begin(subject, {0}, {}).reason == outcome_reason::ticket_home_gone));
 }
 
 TEST_CASE("another life, another host and an expired or voided ticket are never run")
 {
     ticket_home home("host-a", firstLife, capacity);
-    ticket foreign = makeTicket(1, { 1'000 }, { 8 });
-    CHECK((home.begin(foreign, { 0 }, {}).reason == outcome_reason::ticket_home_gone));
-    CHECK_FALSE(home.voidTicket(foreign, { 0 }));
-    foreign = makeTicket(1, { 1'000 });
+    ticket foreign = makeTicket(1, {1'000}, {8});
+    CHECK((home.begin(foreign, {0}, {}).reason == outcome_reason::ticket_home_gone));
+    CHECK_FALSE(home.voidTicket(foreign, {0}));
+    foreign = makeTicket(1, {1'000});
     foreign.homeHost = "host-b";
-    CHECK((home.begin(foreign, { 0 }, {}).reason == outcome_reason::ticket_home_gone));
+    CHECK((home.begin(foreign, {0}, {}).reason == outcome_reason::ticket_home_gone));
 
-    const ticket late = makeTicket(2, { 1'000 });
-    CHECK((home.begin(late, { 1'000 }, {}).reason == outcome_reason::ticket_expired));
-    CHECK((home.begin(late, { 0 }, {}).reason == outcome_reason::ticket_expired));
+    const ticket late = makeTicket(2, {1'000});
+    CHECK((home.begin(late, {1'000}, {}).reason == outcome_reason::ticket_expired));
+    CHECK((home.begin(late, {0}, {}).reason == outcome_reason::ticket_expired));
 
-    const ticket paused = makeTicket(3, { 5'000 });
-    CHECK(home.begin(paused, { 0 }, {}).verdict == ticket_verdict::run);
-    CHECK_FALSE(home.confirmSend(paused, { 5'000 }));
-    CHECK_FALSE(home.confirmSend(paused, { 0 }));
+    const ticket paused = makeTicket(3, {5'000});
+    CHECK(home.begin(paused, {0}, {}).verdict == ticket_verdict::run);
+    CHECK_FALSE(home.confirmSend(paused, {5'000}));
+    CHECK_FALSE(home.confirmSend(paused, {0}));
 
-    const ticket voided = makeTicket(4, { 5'000 });
-    CHECK(home.begin(voided, { 0 }, {}).verdict == ticket_verdict::run);
-    CHECK(home.voidTicket(voided, { 0 }));
-    CHECK_FALSE(home.confirmSend(voided, { 0 }));
+    const ticket voided = makeTicket(4, {5'000});
+    CHECK(home.begin(voided, {0}, {}).verdict == ticket_verdict::run);
+    CHECK(home.voidTicket(voided, {0}));
+    CHECK_FALSE(home.confirmSend(voided, {0}));
     home.notRun(voided, makeNotRun());
-    CHECK((home.begin(voided, { 0 }, {}).reason == outcome_reason::ticket_expired));
+    CHECK((home.begin(voided, {0}, {}).reason == outcome_reason::ticket_expired));
 
-    const ticket refused = makeTicket(5, { 5'000 });
-    CHECK(home.begin(refused, { 0 }, {}).verdict == ticket_verdict::run);
+    const ticket refused = makeTicket(5, {5'000});
+    CHECK(home.begin(refused, {0}, {}).verdict == ticket_verdict::run);
     home.notRun(refused, makeNotRun());
-    CHECK(home.begin(refused, { 0 }, {}).verdict == ticket_verdict::run);
+    CHECK(home.begin(refused, {0}, {}).verdict == ticket_verdict::run);
     home.refuse(refused, makeNotRun());
-    CHECK((home.begin(refused, { 0 }, {}).reason == outcome_reason::ticket_expired));
+    CHECK((home.begin(refused, {0}, {}).reason == outcome_reason::ticket_expired));
 }
 
 TEST_CASE("a full memory refuses new tickets and keeps the old; an answer too large to keep is said to be unknown")
 {
     ticket_home home("host-a", firstLife, 1);
-    const ticket first = makeTicket(1, { 1'000 });
-    CHECK(home.begin(first, { 0 }, {}).verdict == ticket_verdict::run);
-    CHECK((home.begin(makeTicket(2, { 1'000 }), { 0 }, {}).reason == outcome_reason::daemon_busy));
-    CHECK(home.voidTicket(makeTicket(2, { 1'000 }), { 0 }));
-    CHECK((home.begin(makeTicket(2, { 100'000 }), { 0 }, {}).reason == outcome_reason::ticket_home_gone));
-    CHECK(home.confirmSend(first, { 0 }));
+    const ticket first = makeTicket(1, {1'000});
+    CHECK(home.begin(first, {0}, {}).verdict == ticket_verdict::run);
+    CHECK((home.begin(makeTicket(2, {1'000}), {0}, {}).reason == outcome_reason::daemon_busy));
+    CHECK(home.voidTicket(makeTicket(2, {1'000}), {0}));
+    CHECK((home.begin(makeTicket(2, {100'000}), {0}, {}).reason == outcome_reason::ticket_home_gone));
+    CHECK(home.confirmSend(first, {0}));
     home.finish(first, makeAnswer(std::string(100'000, 'x')));
-    CHECK((home.begin(first, { 0 }, {}).result->outcome == call_outcome::unknown));
-    home.tick({ 61'000 });
-    CHECK((home.begin(makeTicket(2, { 1'000 }), { 0 }, {}).reason != outcome_reason::none));
-    CHECK(home.begin(makeTicket(3, { 90'000 }), { 61'000 }, {}).verdict == ticket_verdict::run);
+    CHECK((home.begin(first, {0}, {}).result->outcome == call_outcome::unknown));
+    home.tick({61'000});
+    CHECK((home.begin(makeTicket(2, {1'000}), {0}, {}).reason != outcome_reason::none));
+    CHECK(home.begin(makeTicket(3, {90'000}), {61'000}, {}).verdict == ticket_verdict::run);
 }
--- a/tests/unit/ticket_text_test.cpp
+++ b/tests/unit/ticket_text_test.cpp
@@ -9,7 +9,8 @@
 
 using namespace cicadamux;
 
-namespace {
+namespace
+{
 std::string anyText(std::mt19937_64 &random, std::size_t longest)
 {
     std::string text(random() % (longest + 1), ' ');
