--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -116,12 +116,12 @@
 
 void http_server::open()
 {
+    if (m_state->shared->draining) {
+        return;
+    }
+    m_state->acceptor.listen(tcp::acceptor::max_listen_connections);
     boost::asio::post(m_state->acceptor.get_executor(), [server = m_state] {
-        boost::system::error_code failure;
-        if (!server->shared->draining) {
-            server->acceptor.listen(tcp::acceptor::max_listen_connections, failure);
-            server->accept();
-        }
+        server->accept();
     });
 }
 
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -39,7 +39,7 @@
     /** @return `IP:port` as bound. */
     std::string boundAddress() const;
 
-    /** Begins to accept. */
+    /** Begins to accept: once it has returned, connections are no longer refused. Called once. */
     void open();
 
     /** Accepts no more connections; those that are there are closed after their next answer. */
--- a/tests/support/stall_fleet.cpp
+++ b/tests/support/stall_fleet.cpp
@@ -144,6 +144,17 @@
     return count == nullptr ? 0 : count->to_number<std::int64_t>();
 }
 
+bool allAnswer(const test_fleet &fleet, std::string_view operation)
+{
+    static int probes = 0;
+    for (const fleet_host &host : fleet.hosts()) {
+        if (outcomeIn(callWith(host.edge, "pitchdesk", operation, "probe-" + std::to_string(++probes), {})) != "answered") {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool waitUntil(const std::function<bool()> &holds, clock_ms timeout)
 {
     const clock_ms end = steadyNow() + timeout;
--- a/tests/support/stall_fleet_func.h
+++ b/tests/support/stall_fleet_func.h
@@ -44,6 +44,12 @@
 /** @return How often a backend server has run the request with this id. */
 std::int64_t runsOf(const std::string &backend, std::string_view operation, std::string_view id);
 
+/**
+ * Probes each edge with a request to pitchdesk of its own: the same one again would count as a caller's retry.
+ * @return Whether all were answered.
+ */
+bool allAnswer(const test_fleet &fleet, std::string_view operation);
+
 /** Waits until a condition holds. @return Whether it did before the time was over. */
 bool waitUntil(const std::function<bool()> &holds, clock_ms timeout);
 
