--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -218,10 +218,10 @@
 {
     test_fleet fleet(stallOptions());
     for (const fleet_host &host : fleet.hostsOf("pitchdesk")) {
-        fleet.control(host.backend, {{"fault", "slow"}, {"factor", 150}});
+        fleet.control(host.backend, {{"fault", "slow"}, {"factor", 400}});
     }
     call_extras patient;
-    patient.deadline = "8000"; // Far beyond the slowed service time of about 1.5 s.
+    patient.deadline = "8000"; // Far beyond the slowed service time of about 4 s.
     std::string outcome;
     std::thread caller([&] {
         outcome = outcomeIn(callWith(fleet.hosts()[2].edge, "pitchdesk", "show", "slow", patient));
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -80,6 +80,30 @@
     CHECK(connections == 2);
 }
 
+TEST_CASE("an answer that comes late on an idle connection never goes to the next request")
+{
+    io_threads io;
+    std::promise<void> firstTaken;
+    std::promise<void> lateSent;
+    std::atomic<int> connections{0};
+    raw_server server([&](raw_socket &connection) {
+        const bool isFirst = ++connections == 1;
+        connection.receiveUntil(endOfHeader);
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+        if (isFirst) {
+            firstTaken.get_future().wait();
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+            lateSent.set_value();
+        }
+    });
+    http_client client(io.context, server.address(), {});
+    CHECK(get(client).response.body == "first");
+    firstTaken.set_value();
+    lateSent.get_future().wait();
+    CHECK(get(client).response.body == "first");
+    CHECK(connections == 2);
+}
+
 TEST_CASE("connections are bounded and used again")
 {
     io_threads io;
