Change: The entry of requests is split by subject; a server's failure is delivered where it can't be repeated

Cause: request_entry.cpp held intake, attempts, own answers and the log; the deadline's header was read twice and two owners of an object_mirror logged the loss of the store alike. Whole sidecars in one process (tests/unit/sidecar_fleet_fake) showed two faults: an idempotent request whose only allowed attempt was answered 500 got our 502 in place of the backend server's answer, and a request that still waited for a slot at its limit was told 504, which promises nothing, though it had not run. Change: request_intake, request_attempts, own_answer, entered_request; object_mirror logs by itself.

--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -27,6 +27,7 @@
     {"parent_gone", call_outcome::not_run, 503},    {"ticket_required", call_outcome::not_run, 400}, {"ticket_invalid", call_outcome::not_run, 400},
     {"ticket_expired", call_outcome::not_run, 503}, {"daemon_busy", call_outcome::not_run, 503},     {"connection_lost", call_outcome::unknown, 504},
     {"answer_broken", call_outcome::unknown, 504},  {"answer_timeout", call_outcome::unknown, 504},  {"ticket_home_gone", call_outcome::unknown, 504},
+    {"no_route", call_outcome::not_run, 404},
 }};
 
 const reason_row &rowOf(outcome_reason reason)
--- a/src/request/outcome_type.h
+++ b/src/request/outcome_type.h
@@ -42,6 +42,7 @@
     answer_broken,
     answer_timeout,
     ticket_home_gone,
+    no_route, ///< The configuration has no route for the request.
     count ///< Number of reasons; is none itself.
 };
 
--- a/src/sidecar/configuration_source.cpp
+++ b/src/sidecar/configuration_source.cpp
@@ -18,24 +18,13 @@
     object_mirror_settings settings;
     settings.kind = core.adapter.configurationKind;
     settings.wait = watchWait;
-    object_mirror_hooks hooks;
-    hooks.changed = [this](const std::map<std::string, stored_object> &objects) {
+    auto mirrored = [this](const std::map<std::string, stored_object> &objects) {
         const auto found = objects.find(m_core.adapter.configurationName);
         if (found != objects.end()) {
             take(found->second.value, "store");
         }
     };
-    hooks.failed = [this](store_failure failure) {
-        if (!std::exchange(m_storeIsDown, true)) {
-            logEvent(log_level::warning, "store_lost", {{"kind", m_core.adapter.configurationKind}, {"failure", toString(failure)}});
-        }
-    };
-    hooks.reached = [this] {
-        if (std::exchange(m_storeIsDown, false)) {
-            logEvent(log_level::info, "store_regained", {{"kind", m_core.adapter.configurationKind}});
-        }
-    };
-    m_mirror = std::make_shared<object_mirror>(core.context, store, settings, std::move(hooks), threadRandom);
+    m_mirror = std::make_shared<object_mirror>(core.context, store, settings, std::move(mirrored), threadRandom);
 }
 
 void configuration_source::start()
--- a/src/sidecar/configuration_source_base.h
+++ b/src/sidecar/configuration_source_base.h
@@ -46,7 +46,6 @@
     std::uint64_t m_heardVersion = 0; ///< Highest that another host has in force.
     std::string m_heardFrom;
     clock_ms m_heardAt;
-    bool m_storeIsDown = false;
 };
 
 } // namespace cicadamux
--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -61,21 +61,10 @@
     settings.kind = directoryKind;
     settings.wait = watchWait;
     settings.pause = watchPause;
-    object_mirror_hooks mirrorHooks;
-    mirrorHooks.changed = [this](const std::map<std::string, stored_object> &objects) {
+    auto changed = [this](const std::map<std::string, stored_object> &objects) {
         readEntries(objects);
     };
-    mirrorHooks.failed = [this](store_failure failure) {
-        if (!std::exchange(m_storeIsDown, true)) {
-            logEvent(log_level::warning, "store_lost", {{"kind", directoryKind}, {"failure", toString(failure)}});
-        }
-    };
-    mirrorHooks.reached = [this] {
-        if (std::exchange(m_storeIsDown, false)) {
-            logEvent(log_level::info, "store_regained", {{"kind", directoryKind}});
-        }
-    };
-    m_mirror = std::make_shared<object_mirror>(core.context, store, settings, std::move(mirrorHooks), threadRandom);
+    m_mirror = std::make_shared<object_mirror>(core.context, store, settings, std::move(changed), threadRandom);
 }
 
 void host_directory::start()
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -101,7 +101,6 @@
     bool m_isWriting = false;
     bool m_isListed = false;
     bool m_isLeaving = false;
-    bool m_storeIsDown = false;
     clock_ms m_nextWrite;
 };
 
--- /dev/null
+++ b/src/sidecar/own_answer.cpp
@@ -0,0 +1,90 @@
+/** @file own_answer.cpp Answers that no backend server made. */
+
+#include "sidecar/own_answer_func.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace cicadamux
+{
+
+namespace
+{
+constexpr clock_ms leastRetryAfter{50}; ///< For Retry-After.
+
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusTimeout = 408;
+constexpr unsigned statusBodyTooLarge = 413;
+constexpr unsigned statusHeaderTooLarge = 431;
+constexpr unsigned statusBadGateway = 502;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusGatewayTimeout = 504;
+
+http_response makeFailure(unsigned status, std::string_view text)
+{
+    http_response response;
+    response.status = status;
+    response.headers.push_back({"Content-Type", "text/plain"});
+    response.body = std::string(text) + "\n";
+    return response;
+}
+
+std::string formatSeconds(clock_ms span)
+{
+    std::array<char, 32> text{};
+    constexpr double second = 1'000; // Milliseconds.
+    std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(span.count) / second);
+    return text.data();
+}
+
+unsigned failureStatus(bool isUnknown, outcome_reason reason)
+{
+    switch (reason) {
+    case outcome_reason::bad_request:
+        return statusBadRequest;
+    case outcome_reason::no_route:
+        return statusNotFound;
+    default:
+        break;
+    }
+    if (!isUnknown) {
+        return statusUnavailable;
+    }
+    return reason == outcome_reason::answer_timeout ? statusGatewayTimeout : statusBadGateway;
+}
+} // namespace
+
+http_response malformedAnswer(http_read_failure failure)
+{
+    switch (failure) {
+    case http_read_failure::header_too_large:
+        return makeFailure(statusHeaderTooLarge, "header too large");
+    case http_read_failure::body_too_large:
+        return makeFailure(statusBodyTooLarge, "body too large");
+    case http_read_failure::too_slow:
+        return makeFailure(statusTimeout, "request too slow");
+    case http_read_failure::too_many_connections:
+        return makeFailure(statusUnavailable, "too many connections");
+    case http_read_failure::malformed:
+    case http_read_failure::truncated:
+        break;
+    }
+    return makeFailure(statusBadRequest, "malformed request");
+}
+
+http_response ownAnswer(const entered_request &entered, outcome_reason reason, std::string_view idHeader)
+{
+    const unsigned status = failureStatus(entered.isUnknown, reason);
+    http_response response = makeFailure(status, toString(reason));
+    if (!entered.requestId.empty()) {
+        response.headers.push_back({std::string(idHeader), entered.requestId});
+    }
+    if (status == statusUnavailable) {
+        response.headers.push_back({"Retry-After", formatSeconds(std::max(leastRetryAfter, entered.retryAfter))});
+    }
+    return response;
+}
+
+} // namespace cicadamux
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -6,6 +6,7 @@
 #include "daemon/call_headers_func.h"
 #include "daemon/settings_parts_func.h"
 #include "http/http_fields_func.h"
+#include "sidecar/own_answer_func.h"
 
 #include <ctime>
 
@@ -104,7 +105,7 @@
     const daemon_settings &settings = m_core.settings;
     m_links = std::make_unique<link_server>(m_context, settings.peerAddress, settings.maxBodyBytes + messageOverhead, linkHooks());
     const http_limits limits = listenerLimits(settings);
-    const http_malformed malformed = request_entry::malformed;
+    const http_malformed malformed = malformedAnswer;
     m_ready = std::make_unique<http_server>(
         m_context,
         settings.readyAddress,
--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -2,16 +2,18 @@
 
 #include "store/object_mirror_base.h"
 
+#include "core/log_func.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace cicadamux
 {
 
-object_mirror::object_mirror(
-    boost::asio::io_context &context, object_store &store, object_mirror_settings settings, object_mirror_hooks hooks, random_source random)
+object_mirror::object_mirror(boost::asio::io_context &context, object_store &store, object_mirror_settings settings, objects_hook changed, random_source random)
     : m_store(store)
     , m_settings(std::move(settings))
-    , m_hooks(std::move(hooks))
+    , m_changed(std::move(changed))
     , m_random(std::move(random))
     , m_timer(context)
     , m_backoff(m_settings.firstBackoff)
@@ -62,7 +64,7 @@
     m_isListed = true;
     m_objects.clear();
     take(result.value);
-    m_hooks.changed(m_objects);
+    m_changed(m_objects);
     watch();
 }
 
@@ -89,7 +91,7 @@
     const bool isChanged = !result.value.items.empty() || !result.value.deleted.empty();
     take(result.value);
     if (isChanged) {
-        m_hooks.changed(m_objects);
+        m_changed(m_objects);
     }
     if (isChanged && m_settings.pause.count > 0) {
         after(m_settings.pause, &object_mirror::watch);
@@ -108,12 +110,16 @@
     for (const std::string &name : changes.deleted) {
         m_objects.erase(name);
     }
-    m_hooks.reached();
+    if (std::exchange(m_isLost, false)) {
+        logEvent(log_level::info, "store_regained", {{"kind", m_settings.kind}});
+    }
 }
 
 void object_mirror::retry(store_failure failure)
 {
-    m_hooks.failed(failure);
+    if (!std::exchange(m_isLost, true)) {
+        logEvent(log_level::warning, "store_lost", {{"kind", m_settings.kind}, {"failure", toString(failure)}});
+    }
     const auto jitter = static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(m_backoff.count));
     const clock_ms span{m_backoff.count / 2 + jitter};
     m_backoff = std::min(m_settings.lastBackoff, m_backoff + m_backoff);
--- a/src/store/object_mirror_base.h
+++ b/src/store/object_mirror_base.h
@@ -25,18 +25,14 @@
     clock_ms lastBackoff{1'000}; ///< Under the time in which a lapsed entry has to be back after an outage.
 };
 
-/** What the owner of a mirror hears. */
-struct object_mirror_hooks {
-    std::function<void(const std::map<std::string, stored_object> &objects)> changed; ///< After a list or a watch with changes.
-    std::function<void(store_failure failure)> failed; ///< A call failed; another one follows.
-    std::function<void()> reached; ///< A call succeeded.
-};
-
-/** Used by one thread. */
+/** Logs when its store is lost and regained. Used by one thread. */
 class object_mirror : public std::enable_shared_from_this<object_mirror>
 {
 public:
-    object_mirror(boost::asio::io_context &context, object_store &store, object_mirror_settings settings, object_mirror_hooks hooks, random_source random);
+    /** Takes in all objects, after a list or a watch with changes. */
+    using objects_hook = std::function<void(const std::map<std::string, stored_object> &objects)>;
+
+    object_mirror(boost::asio::io_context &context, object_store &store, object_mirror_settings settings, objects_hook changed, random_source random);
 
     void start();
 
@@ -58,7 +54,7 @@
 
     object_store &m_store;
     object_mirror_settings m_settings;
-    object_mirror_hooks m_hooks;
+    objects_hook m_changed;
     random_source m_random;
     boost::asio::steady_timer m_timer;
     std::map<std::string, stored_object> m_objects;
@@ -66,6 +62,7 @@
     std::uint64_t m_round = 0; ///< Raised by refresh(); the end of an older call is ignored.
     clock_ms m_backoff;
     bool m_isListed = false;
+    bool m_isLost = false; ///< The last call failed.
     bool m_stopped = false;
 };
 
--- /dev/null
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -0,0 +1,243 @@
+/** @file sidecar_fleet_fake.cpp Whole sidecars in one process, with a platform in memory and backend servers that tests script. */
+
+#include "sidecar_fleet_fake.h"
+
+#include "support/address_func.h"
+
+#include <chrono>
+#include <sstream>
+
+namespace cicadamux::test
+{
+
+namespace
+{
+constexpr clock_ms callTimeout{20'000}; ///< Only a fault exceeds it.
+
+/** Makes each sidecar's own client of the one platform. */
+class platform_client : public object_store
+{
+public:
+    explicit platform_client(object_store &platform)
+        : m_platform(platform)
+    {
+    }
+
+    void get(std::string_view kind, std::string_view name, store_handler<stored_object> handler) override
+    {
+        m_platform.get(kind, name, std::move(handler));
+    }
+
+    void put(std::string_view kind, std::string_view name, std::string_view value, std::uint64_t ifVersion, store_handler<std::uint64_t> handler) override
+    {
+        m_platform.put(kind, name, value, ifVersion, std::move(handler));
+    }
+
+    void remove(std::string_view kind, std::string_view name, std::uint64_t ifVersion, store_handler<std::uint64_t> handler) override
+    {
+        m_platform.remove(kind, name, ifVersion, std::move(handler));
+    }
+
+    void list(std::string_view kind, store_handler<store_changes> handler) override
+    {
+        m_platform.list(kind, std::move(handler));
+    }
+
+    void watch(std::string_view kind, std::uint64_t cursor, clock_ms wait, store_handler<store_changes> handler) override
+    {
+        m_platform.watch(kind, cursor, wait, std::move(handler));
+    }
+
+private:
+    object_store &m_platform;
+};
+
+std::optional<server_message> readMessage(const cicadamux::http_request &request)
+{
+    std::istringstream words(request.body);
+    server_message message;
+    std::string state;
+    std::int64_t born = 0;
+    server_announcement &said = message.announcement;
+    words >> said.id >> born >> said.sequence >> said.service >> said.address >> said.slots >> state;
+    said.born = clock_ms{born};
+    said.draining = state == "draining";
+    message.isDeparture = state == "gone";
+    return message;
+}
+} // namespace
+
+sidecar_fleet::sidecar_fleet() = default;
+
+sidecar_fleet::~sidecar_fleet()
+{
+    for (const auto &host : m_hosts) {
+        if (host->running) {
+            host->running->stop();
+        }
+    }
+}
+
+sidecar_adapter sidecar_fleet::makeAdapter()
+{
+    sidecar_adapter adapter;
+    adapter.headers = {"x-id", "x-deadline", "x-expected", "x-caller", "x-signature", "x-not-run"};
+    adapter.readyPath = "/ready";
+    adapter.configurationKind = "configuration";
+    adapter.configurationName = "main";
+    adapter.readBounds = [](std::string_view) {
+        return fleet_bounds();
+    };
+    adapter.readConfiguration = [this](std::string_view text) {
+        return m_configurations.at(std::string(text));
+    };
+    adapter.readServerMessage = readMessage;
+    adapter.makeStore = [this](boost::asio::io_context &, const std::string &) {
+        return std::make_unique<platform_client>(platform);
+    };
+    return adapter;
+}
+
+sidecar_host &sidecar_fleet::add(const std::string &service, served_handler serve)
+{
+    sidecar_host &host = *m_hosts.emplace_back(std::make_unique<sidecar_host>());
+    host.name = "host-" + std::to_string(m_hosts.size());
+    host.service = service;
+    host.serve = std::move(serve);
+    host.settings.host = host.name;
+    host.settings.dataCenter = "tbs-1";
+    host.settings.backendService = service;
+    host.settings.edgeAddress = freeAddress();
+    host.settings.localAddress = freeAddress();
+    host.settings.peerAddress = freeAddress();
+    host.settings.adminAddress = freeAddress();
+    host.settings.readyAddress = freeAddress();
+    host.settings.backendAddress = freeAddress();
+    startServer(host);
+    host.running = std::make_unique<sidecar>(context, host.settings, makeAdapter());
+    host.running->start();
+    return host;
+}
+
+void sidecar_fleet::startServer(sidecar_host &host)
+{
+    host.server = std::make_unique<test::http_server>(context, host.settings.backendAddress, [&host](const std::shared_ptr<test::http_exchange> &exchange) {
+        host.served.push_back(exchange->request());
+        host.serve(exchange);
+    });
+}
+
+void sidecar_fleet::configure(route_configuration configuration)
+{
+    const std::string text = std::to_string(configuration.version);
+    m_configurations[text] = std::move(configuration);
+    platform.write("configuration", "main", text);
+}
+
+void sidecar_fleet::beat(sidecar_host &host, const std::string &id, std::uint32_t slots, const std::string &state)
+{
+    std::ostringstream body;
+    body << id << " 1000 " << ++host.sequence << ' ' << host.service << ' ' << host.settings.backendAddress << ' ' << slots << ' ' << state;
+    http_message message;
+    message.method = "PUT";
+    message.target = "/beat";
+    message.body = body.str();
+    auto isOver = std::make_shared<bool>(false);
+    m_client.send(host.settings.localAddress, message, callTimeout, [isOver](const http_reply &) {
+        *isOver = true;
+    });
+    eventually([&isOver] {
+        return *isOver;
+    });
+}
+
+bool sidecar_fleet::eventually(const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(callTimeout.count);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+}
+
+bool sidecar_fleet::ready()
+{
+    for (const auto &host : m_hosts) {
+        const bool came = eventually([this, &host] {
+            http_message question;
+            question.method = "GET";
+            question.target = "/ready";
+            auto reply = std::make_shared<std::optional<http_reply>>();
+            m_client.send(host->settings.readyAddress, question, callTimeout, [reply](const http_reply &got) {
+                *reply = got;
+            });
+            return eventually([&reply] {
+                       return reply->has_value();
+                   })
+                && (**reply).message.status == 200;
+        });
+        if (!came) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::shared_ptr<std::optional<http_reply>> sidecar_fleet::send(sidecar_host &host, const std::string &target, clock_ms deadline)
+{
+    http_message request;
+    request.method = "GET";
+    request.target = target;
+    request.headers = {{"host", "shop.example"}, {"x-id", "r-" + std::to_string(++m_lastRequest)}, {"x-deadline", std::to_string(deadline.count)}};
+    auto reply = std::make_shared<std::optional<http_reply>>();
+    m_client.send(host.settings.edgeAddress, request, callTimeout, [reply](const http_reply &got) {
+        *reply = got;
+    });
+    return reply;
+}
+
+http_reply sidecar_fleet::call(sidecar_host &host, const std::string &target, clock_ms deadline)
+{
+    const auto reply = send(host, target, deadline);
+    eventually([&reply] {
+        return reply->has_value();
+    });
+    return reply->value_or(http_reply{http_failure::timeout, {}});
+}
+
+http_message sidecar_fleet::goodAnswer(const http_message &request, unsigned status)
+{
+    http_message answer;
+    answer.status = status;
+    answer.headers = {{"x-id", std::string(headerOf(request, "x-id"))}, {"x-signature", "signed"}};
+    answer.body = "answer to " + request.target;
+    return answer;
+}
+
+void sidecar_fleet::answerWell(const std::shared_ptr<test::http_exchange> &exchange)
+{
+    exchange->answer(goodAnswer(exchange->request()));
+}
+
+route_configuration makeRoutes(std::uint64_t version, const std::vector<std::string> &services, bool idempotent, std::uint32_t maxServers)
+{
+    route_configuration configuration;
+    configuration.version = version;
+    for (const std::string &service : services) {
+        route_rule route;
+        route.name = service;
+        route.host = "shop.example";
+        route.prefix = "/" + service + "/";
+        route.idempotent = idempotent;
+        route.timeout = clock_ms{5'000};
+        route.latencyObjective = clock_ms{1'000};
+        route.maxServers = maxServers;
+        route.services = {{service, 1}};
+        configuration.routes.push_back(route);
+        configuration.services.push_back({service, 100});
+    }
+    return configuration;
+}
+
+} // namespace cicadamux::test
--- /dev/null
+++ b/tests/unit/sidecar_fleet_fake.h
@@ -0,0 +1,88 @@
+/** @file sidecar_fleet_fake.h Whole sidecars in one process, with a platform in memory and backend servers that tests script. */
+
+#pragma once
+
+#include "fleet_fakes.h"
+#include "sidecar/sidecar_base.h"
+#include "support/http_client_base.h"
+#include "support/http_server_base.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadamux::test
+{
+
+/** What a scripted backend server does with a request that reached it. */
+using served_handler = std::function<void(const std::shared_ptr<test::http_exchange> &exchange)>;
+
+/** One host: a sidecar and its backend server. */
+struct sidecar_host {
+    std::string name;
+    std::string service;
+    daemon_settings settings;
+    std::unique_ptr<test::http_server> server; ///< Null if it is away.
+    std::unique_ptr<sidecar> running; ///< Null if it is away.
+    served_handler serve;
+    std::vector<http_message> served; ///< Requests that reached the backend server, in order.
+    std::uint64_t sequence = 0; ///< Of its heartbeats.
+};
+
+/** Used on one thread, which runs everything. */
+class sidecar_fleet
+{
+public:
+    sidecar_fleet();
+    ~sidecar_fleet();
+    sidecar_fleet(const sidecar_fleet &) = delete;
+    sidecar_fleet &operator=(const sidecar_fleet &) = delete;
+
+    /** Starts a host whose backend server serves with `serve`, by default with a good answer. */
+    sidecar_host &add(const std::string &service, served_handler serve = answerWell);
+
+    /** Puts a configuration into the store. */
+    void configure(route_configuration configuration);
+
+    /** Sends a heartbeat of a host's backend server. */
+    void beat(sidecar_host &host, const std::string &id, std::uint32_t slots, const std::string &state = "serving");
+
+    /** Runs everything until the condition holds. @return Whether it did, within a bound that only a fault exceeds. */
+    bool eventually(const std::function<bool()> &condition);
+
+    /** Runs until all hosts are ready and serve. @return Whether that came. */
+    bool ready();
+
+    /** Sends a request to a host's sidecar. */
+    std::shared_ptr<std::optional<http_reply>> send(sidecar_host &host, const std::string &target, clock_ms deadline);
+
+    /** Sends a request and runs until it ends. */
+    http_reply call(sidecar_host &host, const std::string &target, clock_ms deadline = clock_ms{5'000});
+
+    /** A whole answer of a backend server, signed and with the request's id. */
+    static http_message goodAnswer(const http_message &request, unsigned status = 200);
+
+    static void answerWell(const std::shared_ptr<test::http_exchange> &exchange);
+
+    boost::asio::io_context context;
+    fake_platform platform{context};
+
+private:
+    sidecar_adapter makeAdapter();
+    void startServer(sidecar_host &host);
+
+    std::map<std::string, route_configuration> m_configurations; ///< By the text in the store.
+    std::vector<std::unique_ptr<sidecar_host>> m_hosts;
+    test::http_client m_client{context};
+    std::uint64_t m_lastRequest = 0;
+};
+
+/** @return A configuration with one route, `/SERVICE/`, for each service. */
+route_configuration makeRoutes(std::uint64_t version, const std::vector<std::string> &services, bool idempotent, std::uint32_t maxServers);
+
+} // namespace cicadamux::test
