--- a/src/link/link_stream.cpp
+++ b/src/link/link_stream.cpp
@@ -7,16 +7,14 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
-#include <cstring>
+#include <array>
 
 namespace cicadamux
 {
 
 namespace
 {
-constexpr std::size_t initialInput = 4'096; ///< Bytes; grows with the messages that come.
-constexpr std::size_t maxKeptInput = 65'536; ///< Bytes that an idle stream keeps.
+constexpr std::size_t readSize = 65'536; ///< Bytes of one read; most messages are far smaller.
 constexpr std::size_t maxFramesAtOnce = 32; ///< Of one write.
 } // namespace
 
@@ -24,13 +22,14 @@
     : m_socket(std::move(socket))
     , m_maxMessage(maxMessage)
     , m_hooks(std::move(hooks))
-    , m_input(initialInput)
     , m_lastHeard(steadyNow())
 {
 }
 
 void link_stream::start()
 {
+    boost::system::error_code ignored; // A socket that can't be switched fails at its first read.
+    m_socket.non_blocking(true, ignored);
     read();
 }
 
@@ -71,57 +70,76 @@
     m_socket.close(ignored);
 }
 
+/** Waits without a buffer: a host has two streams for each other one, and most of them are idle. */
 void link_stream::read()
 {
-    const auto free = boost::asio::buffer(m_input.data() + m_inputSize, m_input.size() - m_inputSize);
-    m_socket.async_read_some(free, [self = shared_from_this()](boost::system::error_code failure, std::size_t size) {
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code failure) {
         if (self->m_closed) {
             return;
         }
         if (failure) {
             self->fail(failure.message());
-            return;
-        }
-        self->m_lastHeard = steadyNow();
-        self->m_inputSize += size;
-        try {
-            self->takeMessages();
-        } catch (const link_error &broken) {
-            self->fail(broken.what());
-            return;
-        }
-        if (!self->m_closed) {
-            self->read();
+        } else {
+            self->receive();
         }
     });
 }
 
-void link_stream::takeMessages()
+void link_stream::receive()
+{
+    thread_local std::array<char, readSize> bytes; // Nothing of it is needed after this call.
+    boost::system::error_code failure;
+    const std::size_t size = m_socket.read_some(boost::asio::buffer(bytes), failure);
+    if (failure && failure != boost::asio::error::would_block) {
+        fail(failure.message());
+        return;
+    }
+    try {
+        take({bytes.data(), size});
+    } catch (const link_error &broken) {
+        fail(broken.what());
+        return;
+    }
+    if (!m_closed) {
+        read();
+    }
+}
+
+/** Hands over the whole messages among the bytes, and keeps the beginning of the next one. */
+void link_stream::take(std::string_view bytes)
+{
+    if (!bytes.empty()) {
+        m_lastHeard = steadyNow();
+    }
+    if (m_partial.empty()) {
+        const std::size_t taken = takeMessages(bytes);
+        m_partial.assign(bytes.begin() + static_cast<std::ptrdiff_t>(taken), bytes.end());
+        return;
+    }
+    m_partial.insert(m_partial.end(), bytes.begin(), bytes.end());
+    const std::size_t taken = takeMessages({m_partial.data(), m_partial.size()});
+    if (taken > 0) {
+        m_partial = std::vector<char>(m_partial.begin() + static_cast<std::ptrdiff_t>(taken), m_partial.end());
+    }
+}
+
+/** @return Bytes of the messages that were handed over. */
+std::size_t link_stream::takeMessages(std::string_view bytes)
 {
     std::size_t taken = 0;
-    std::size_t wanted = initialInput;
-    while (m_inputSize - taken >= frameHeaderSize) {
-        const std::size_t length = decodeFrameLength({m_input.data() + taken, frameHeaderSize});
+    while (!m_closed && bytes.size() - taken >= frameHeaderSize) {
+        const std::size_t length = decodeFrameLength(bytes.substr(taken, frameHeaderSize));
         if (length > m_maxMessage) {
             throw link_error("a message of " + std::to_string(length) + " bytes is too long");
         }
-        if (m_inputSize - taken < frameHeaderSize + length) {
-            wanted = std::max(wanted, frameHeaderSize + length);
+        if (bytes.size() - taken < frameHeaderSize + length) {
             break;
         }
-        link_message message = decodeMessage({m_input.data() + taken + frameHeaderSize, length});
+        link_message message = decodeMessage(bytes.substr(taken + frameHeaderSize, length));
         taken += frameHeaderSize + length;
         m_hooks.received(std::move(message));
-        if (m_closed) {
-            return;
-        }
-    }
-    std::memmove(m_input.data(), m_input.data() + taken, m_inputSize - taken);
-    m_inputSize -= taken;
-    if (m_input.size() < wanted || (m_input.size() > maxKeptInput && m_inputSize < wanted)) {
-        m_input.resize(std::max(wanted, m_inputSize));
-        m_input.shrink_to_fit();
     }
+    return taken;
 }
 
 void link_stream::write()
--- a/src/link/link_stream_base.h
+++ b/src/link/link_stream_base.h
@@ -50,15 +50,16 @@
 
 private:
     void read();
-    void takeMessages();
+    void receive();
+    void take(std::string_view bytes);
+    std::size_t takeMessages(std::string_view bytes);
     void write();
     void fail(std::string_view why);
 
     boost::asio::ip::tcp::socket m_socket;
     std::size_t m_maxMessage;
     link_stream_hooks m_hooks;
-    std::vector<char> m_input;
-    std::size_t m_inputSize = 0; ///< Bytes of m_input that are filled.
+    std::vector<char> m_partial; ///< Beginning of a message whose rest hasn't come.
     std::deque<std::string> m_queue; ///< Frames that aren't being written.
     std::vector<std::string> m_writing;
     std::size_t m_backlog = 0;
--- a/src/sidecar/configuration_source.cpp
+++ b/src/sidecar/configuration_source.cpp
@@ -7,7 +7,7 @@
 
 namespace
 {
-constexpr clock_ms watchWait{10'000};
+constexpr clock_ms watchWait{30'000}; ///< The longest that the platform allows; each watch is paid for, and a silent connection is noticed by itself.
 constexpr clock_ms askAfter{250}; ///< Time for the own watch to bring what another host has; well under the time in which a configuration has to be in force.
 } // namespace
 
--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace cicadamux
 {
 
@@ -12,9 +14,15 @@
 namespace
 {
 constexpr std::string_view directoryKind = "cicadamux-hosts"; ///< Kind of the store objects; the name is the host's.
-constexpr clock_ms watchWait{15'000}; ///< Entries change rarely.
-constexpr clock_ms watchPause{400}; ///< At a start all hosts write within a second.
+constexpr clock_ms watchWait{30'000}; ///< The longest that the platform allows; entries change rarely, and each watch is paid for.
+constexpr clock_ms firstPause{400}; ///< After a watch that brought changes: at a start all hosts write within a second.
+constexpr clock_ms laterPause{1'500}; ///< Later, so that hosts that come or leave in a series cost few watches of all others.
+constexpr clock_ms startTime{3'000}; ///< Of this host, as long as hosts that start with it write their entries.
+constexpr clock_ms introduceAfter{600}; ///< A host that starts mostly has the store's configuration by then.
 constexpr clock_ms introducePause{1'000}; ///< Between two introductions to one host.
+constexpr double introducers = 4; ///< Hosts that introduce the others to one that starts, on the mean: one answer may be lost.
+constexpr clock_ms forgetAfter{60'000}; ///< An entry whose host nobody reaches is removed; a live host writes it again.
+constexpr double leastReached = 0.5; ///< Of all hosts, for a host to judge that others are gone rather than itself.
 constexpr clock_ms writeRetry{700}; ///< After a write that failed or was lost.
 
 std::string textOf(const json::object &object, std::string_view key)
@@ -31,7 +39,6 @@
     object["data_center"] = entry.dataCenter;
     object["service"] = entry.service;
     object["link_address"] = entry.linkAddress;
-    object["incarnation"] = std::to_string(entry.incarnation.value);
     return json::serialize(object);
 }
 
@@ -43,9 +50,8 @@
         return std::nullopt;
     }
     const json::object &object = value.get_object();
-    host_entry entry{textOf(object, "host"), textOf(object, "data_center"), textOf(object, "service"), textOf(object, "link_address"), {}};
-    entry.incarnation = incarnation_id{std::strtoull(textOf(object, "incarnation").c_str(), nullptr, 10)};
-    if (entry.host.empty() || entry.linkAddress.empty() || !entry.incarnation.isValid()) {
+    const host_entry entry{textOf(object, "host"), textOf(object, "data_center"), textOf(object, "service"), textOf(object, "link_address")};
+    if (entry.host.empty() || entry.linkAddress.empty()) {
         return std::nullopt;
     }
     return entry;
@@ -60,7 +66,7 @@
     object_mirror_settings settings;
     settings.kind = directoryKind;
     settings.wait = watchWait;
-    settings.pause = watchPause;
+    settings.pause = firstPause;
     auto changed = [this](const std::map<std::string, stored_object> &objects) {
         readEntries(objects);
     };
@@ -69,8 +75,9 @@
 
 void host_directory::start()
 {
+    m_startedAt = steadyNow();
     m_mirror->start();
-    writeOwn(steadyNow());
+    writeOwn(m_startedAt);
 }
 
 void host_directory::readEntries(const std::map<std::string, stored_object> &objects)
@@ -123,6 +130,7 @@
     known_host &known = m_hosts[entry.host];
     known.entry = entry;
     known.link = std::make_shared<host_link>(m_core.context, entry.linkAddress, host_link_settings{}, std::move(hooks));
+    known.forgetAt = forgetTime();
     known.link->start();
 }
 
@@ -171,19 +179,33 @@
     }
     if (report.configurationVersion > m_core.routes.version()) {
         m_hooks.heardVersion(report.configurationVersion, host);
-    } else if (report.configurationVersion == 0 && m_core.routes.version() > 0) {
-        introduceTo(known);
+    }
+    if (report.configurationVersion > 0) {
+        known.lacksAllSince.reset();
+    } else if (m_core.routes.version() > 0) {
+        considerIntroducing(known, steadyNow());
     }
 }
 
-/** A host that starts while the store is away knows neither a configuration nor other hosts; those that connect to it do. */
-void host_directory::introduceTo(known_host &known)
+/**
+ * A host that starts while the store is away knows neither a configuration nor other hosts; those that connect to it do.
+ * Only a few of them tell it, since all of them would send it the same.
+ */
+void host_directory::considerIntroducing(known_host &known, clock_ms now)
 {
-    const clock_ms now = steadyNow();
-    if (now - known.introducedAt < introducePause) {
-        return;
+    if (!known.lacksAllSince) {
+        known.lacksAllSince = now;
+    }
+    const bool isDue = now - *known.lacksAllSince >= introduceAfter && now - known.introducedAt >= introducePause;
+    const auto hosts = static_cast<double>(hostCount());
+    if (isDue && static_cast<double>(threadRandom() % hostCount()) < std::min(introducers, hosts)) {
+        known.introducedAt = now;
+        introduceTo(known);
     }
-    known.introducedAt = now;
+}
+
+void host_directory::introduceTo(const known_host &known)
+{
     host_introduction hosts;
     hosts.entries.push_back(formatHostEntry(m_own));
     for (const auto &[name, other] : m_hosts) {
@@ -212,12 +234,14 @@
     const link_health health = known.link->health();
     if (health != known.health) {
         known.health = health;
+        known.forgetAt = forgetTime();
         m_hooks.linkChanged(host, health);
     }
 }
 
 void host_directory::tick(clock_ms now)
 {
+    forgetDead(now);
     bool isChanged = false;
     std::vector<std::pair<std::string, std::shared_ptr<host_link>>> links;
     links.reserve(m_hosts.size());
@@ -235,9 +259,39 @@
     if (isChanged) {
         m_hooks.changed();
     }
+    if (now - m_startedAt > startTime) {
+        m_mirror->setPause(laterPause);
+    }
     writeOwn(now);
 }
 
+/** Each host draws its own time: the first one's removal reaches the others as a change. */
+clock_ms host_directory::forgetTime()
+{
+    return steadyNow() + forgetAfter + clock_ms{static_cast<std::int64_t>(threadRandom() % static_cast<std::uint64_t>(forgetAfter.count))};
+}
+
+/** Removes entries of hosts that ended without a word. Nothing depends on them; they only cost attempts to connect. */
+void host_directory::forgetDead(clock_ms now)
+{
+    const auto reached = std::ranges::count_if(m_hosts, [](const auto &known) {
+        return known.second.health == link_health::up;
+    });
+    if (static_cast<double>(reached) < leastReached * static_cast<double>(m_hosts.size())) {
+        return;
+    }
+    for (auto &[host, known] : m_hosts) {
+        const auto object = m_mirror->objects().find(host);
+        if (known.health != link_health::down || now < known.forgetAt || object == m_mirror->objects().end()) {
+            continue;
+        }
+        known.forgetAt = forgetTime();
+        m_store.remove(directoryKind, host, object->second.version, [host](const store_result<std::uint64_t> &result) {
+            logEvent(log_level::info, "host_forgotten", {{"peer", host}, {"result", toString(result.failure)}});
+        });
+    }
+}
+
 std::vector<upstream> host_directory::upstreams(clock_ms now) const
 {
     std::vector<upstream> result;
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -20,7 +20,6 @@
     std::string dataCenter;
     std::string service; ///< Of its backend server.
     std::string linkAddress; ///< `IP:port`.
-    incarnation_id incarnation;
 
     bool operator==(const host_entry &) const = default;
 };
@@ -78,7 +77,9 @@
         std::optional<host_report> report; ///< Nothing before the first since the link came up.
         link_health health = link_health::down;
         clock_ms servingSince; ///< Instant; for slow start.
+        std::optional<clock_ms> lacksAllSince; ///< When it first said that it has no configuration.
         clock_ms introducedAt; ///< When it was last told what this host knows.
+        clock_ms forgetAt; ///< When its entry is removed if it is still down.
         std::map<std::string, double, std::less<>> runs; ///< Mean run times by route, milliseconds, from the last probe.
     };
 
@@ -87,8 +88,11 @@
     void linkUp(const std::string &host, bool isUp, std::string_view why);
     void reported(const std::string &host, const host_report &report);
     void noteHealth(const std::string &host, known_host &known);
-    void introduceTo(known_host &known);
+    void considerIntroducing(known_host &known, clock_ms now);
+    void introduceTo(const known_host &known);
     void writeOwn(clock_ms now);
+    static clock_ms forgetTime();
+    void forgetDead(clock_ms now);
 
     sidecar_core &m_core;
     object_store &m_store;
@@ -102,6 +106,7 @@
     bool m_isListed = false;
     bool m_isLeaving = false;
     clock_ms m_nextWrite;
+    clock_ms m_startedAt;
 };
 
 } // namespace cicadamux
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -70,7 +70,7 @@
     , m_core(context, settings, adapter)
     , m_store(adapter.makeStore(context, settings.platformAddress))
     , m_gate(m_core)
-    , m_directory(m_core, *m_store, {settings.host, settings.dataCenter, settings.backendService, settings.peerAddress, m_core.incarnation}, directoryHooks())
+    , m_directory(m_core, *m_store, {settings.host, settings.dataCenter, settings.backendService, settings.peerAddress}, directoryHooks())
     , m_configuration(m_core,
                       *m_store,
                       [this] {
--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -40,6 +40,11 @@
     m_timer.cancel();
 }
 
+void object_mirror::setPause(clock_ms pause)
+{
+    m_settings.pause = pause;
+}
+
 const std::map<std::string, stored_object> &object_mirror::objects() const
 {
     return m_objects;
--- a/src/store/object_mirror_base.h
+++ b/src/store/object_mirror_base.h
@@ -41,6 +41,9 @@
 
     void stop();
 
+    /** Sets the pause after a watch that brings changes. */
+    void setPause(clock_ms pause);
+
     const std::map<std::string, stored_object> &objects() const;
 
 private:
--- a/tests/unit/fleet_fakes.cpp
+++ b/tests/unit/fleet_fakes.cpp
@@ -46,6 +46,7 @@
 void fake_platform::put(std::string_view kind, std::string_view name, std::string_view value, std::uint64_t ifVersion, store_handler<std::uint64_t> handler)
 {
     ++calls;
+    ++writes;
     store_result<std::uint64_t> result;
     {
         const std::lock_guard lock(m_mutex);
--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -50,6 +50,7 @@
 
     std::atomic<bool> isDown{false};
     std::atomic<std::uint64_t> calls{0};
+    std::atomic<std::uint64_t> writes{0}; ///< Of them, calls of put().
 
 private:
     struct held {
--- a/tests/unit/host_directory_test.cpp
+++ b/tests/unit/host_directory_test.cpp
@@ -1,11 +1,14 @@
 /** @file host_directory_test.cpp Hosts found without and with the store. */
 
+#include "link/link_server_base.h"
 #include "sidecar/host_directory_base.h"
+#include "support/address_func.h"
 
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
 using namespace cicadamux;
+using cicadamux::test::freeAddress;
 
 namespace
 {
@@ -16,7 +19,11 @@
 public:
     void get(std::string_view, std::string_view, store_handler<stored_object>) override { }
     void put(std::string_view, std::string_view, std::string_view, std::uint64_t, store_handler<std::uint64_t>) override { }
-    void remove(std::string_view, std::string_view, std::uint64_t, store_handler<std::uint64_t>) override { }
+    void remove(std::string_view, std::string_view name, std::uint64_t, store_handler<std::uint64_t>) override
+    {
+        removed.emplace_back(name);
+    }
+
     void watch(std::string_view, std::uint64_t, clock_ms, store_handler<store_changes>) override { }
 
     void list(std::string_view, store_handler<store_changes> handler) override
@@ -25,6 +32,7 @@
     }
 
     store_handler<store_changes> listing;
+    std::vector<std::string> removed;
 };
 
 daemon_settings makeSettings()
@@ -46,7 +54,27 @@
 
 host_entry makeEntry(const std::string &host)
 {
-    return {host, "tbs-1", "feebox", "127.0.0.1:1", incarnation_id{5}};
+    return {host, "tbs-1", "feebox", "127.0.0.1:1"};
+}
+
+/** Answers links as a host does that has no configuration yet; counts what it is told. */
+link_server_hooks makeNewHost(int &introductions)
+{
+    link_server_hooks hooks;
+    hooks.call = [](const link_call &, const link_answer &) {
+        return [] {};
+    };
+    hooks.report = [] {
+        return host_report();
+    };
+    hooks.configuration = [] {
+        return configuration_offer();
+    };
+    hooks.offered = [](const configuration_offer &) {};
+    hooks.introduced = [&introductions](const host_introduction &) {
+        ++introductions;
+    };
+    return hooks;
 }
 
 host_directory_hooks makeHooks()
@@ -83,3 +111,54 @@
     CHECK(directory.hostCount() == 2);
     directory.stop();
 }
+
+TEST_CASE("an entry whose host nobody reaches is removed and one that is reached stays")
+{
+    boost::asio::io_context context;
+    sidecar_core core(context, makeSettings(), makeAdapter());
+    silent_store store;
+    int introductions = 0;
+    const std::string address = freeAddress();
+    link_server reached(context, address, 1'000'000, makeNewHost(introductions));
+    bool isUp = false;
+    host_directory_hooks hooks = makeHooks();
+    hooks.linkChanged = [&isUp](const std::string &host, link_health health) {
+        isUp = isUp || (host == "host-1" && health == link_health::up);
+    };
+    host_directory directory(core, store, makeEntry("host-0"), hooks);
+    directory.start();
+    store_changes listed;
+    listed.cursor = 7;
+    host_entry live = makeEntry("host-1");
+    live.linkAddress = address;
+    listed.items.push_back({"kind", "host-1", 5, formatHostEntry(live)});
+    listed.items.push_back({"kind", "host-2", 6, formatHostEntry(makeEntry("host-2"))});
+    store.listing({store_failure::none, 0, listed});
+    for (int round = 0; round < 1'000 && !isUp; ++round) {
+        context.run_one_for(std::chrono::milliseconds(10));
+    }
+    REQUIRE(isUp);
+    directory.tick(steadyNow());
+    CHECK(store.removed.empty());
+    directory.tick(steadyNow() + clock_ms{200'000});
+    CHECK(store.removed == std::vector<std::string>{"host-2"});
+    directory.stop();
+    reached.stop();
+}
+
+TEST_CASE("a host that reaches none of the others takes none of them for gone")
+{
+    boost::asio::io_context context;
+    sidecar_core core(context, makeSettings(), makeAdapter());
+    silent_store store;
+    host_directory directory(core, store, makeEntry("host-0"), makeHooks());
+    directory.start();
+    store_changes listed;
+    listed.cursor = 7;
+    listed.items.push_back({"kind", "host-1", 5, formatHostEntry(makeEntry("host-1"))});
+    listed.items.push_back({"kind", "host-2", 6, formatHostEntry(makeEntry("host-2"))});
+    store.listing({store_failure::none, 0, listed});
+    directory.tick(steadyNow() + clock_ms{200'000});
+    CHECK(store.removed.empty());
+    directory.stop();
+}
--- a/tests/unit/sidecar_fleet_fake.cpp
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -114,9 +114,27 @@
     host.settings.readyAddress = freeAddress();
     host.settings.backendAddress = freeAddress();
     startServer(host);
+    startSidecar(host);
+    return host;
+}
+
+void sidecar_fleet::startSidecar(sidecar_host &host)
+{
     host.running = std::make_unique<sidecar>(context, host.settings, makeAdapter());
     host.running->start();
-    return host;
+}
+
+void sidecar_fleet::restart(sidecar_host &host)
+{
+    host.running->stop();
+    m_ended.push_back(std::move(host.running)); // Its last handlers are still to run.
+    startSidecar(host);
+}
+
+void sidecar_fleet::runFor(clock_ms span)
+{
+    context.restart();
+    context.run_for(std::chrono::milliseconds(span.count));
 }
 
 void sidecar_fleet::startServer(sidecar_host &host)
--- a/tests/unit/sidecar_fleet_fake.h
+++ b/tests/unit/sidecar_fleet_fake.h
@@ -46,6 +46,11 @@
     /** Starts a host whose backend server serves with `serve`, by default with a good answer. */
     sidecar_host &add(const std::string &service, served_handler serve = answerWell);
 
+    /** Ends a host's sidecar and starts another one in its place. */
+    void restart(sidecar_host &host);
+
+    void runFor(clock_ms span);
+
     /** Puts a configuration into the store. */
     void configure(route_configuration configuration);
 
@@ -75,9 +80,11 @@
 private:
     sidecar_adapter makeAdapter();
     void startServer(sidecar_host &host);
+    void startSidecar(sidecar_host &host);
 
     std::map<std::string, route_configuration> m_configurations; ///< By the text in the store.
     std::vector<std::unique_ptr<sidecar_host>> m_hosts;
+    std::vector<std::unique_ptr<sidecar>> m_ended;
     test::http_client m_client{context};
     std::uint64_t m_lastRequest = 0;
 };
--- a/tests/unit/sidecar_state_test.cpp
+++ b/tests/unit/sidecar_state_test.cpp
@@ -122,7 +122,7 @@
 
 TEST_CASE("a host's entry in the store survives writing and reading and something else isn't taken for one")
 {
-    const host_entry entry{"sidecar-1", "tbs-a", "feebox", "10.0.0.1:7000", incarnation_id{77}};
+    const host_entry entry{"sidecar-1", "tbs-a", "feebox", "10.0.0.1:7000"};
     CHECK(parseHostEntry(formatHostEntry(entry)) == entry);
     CHECK_FALSE(parseHostEntry("{}").has_value());
     CHECK_FALSE(parseHostEntry("null").has_value());
--- a/tests/unit/sidecar_test.cpp
+++ b/tests/unit/sidecar_test.cpp
@@ -157,3 +157,36 @@
     CHECK(fleet.call(entry, "/feebox/", clock_ms{2'000}).message.status == 503);
     CHECK(held.size() == 1);
 }
+
+TEST_CASE("a host that starts while the store is away is told the configuration and the other hosts by those that connect to it")
+{
+    sidecar_fleet fleet;
+    sidecar_host &entry = fleet.add("mapview");
+    sidecar_host &target = fleet.add("feebox");
+    fleet.configure(makeRoutes(3, {"feebox"}, true, 2));
+    fleet.beat(target, "i-1", 4);
+    REQUIRE(fleet.ready());
+    REQUIRE(fleet.call(entry, "/feebox/").message.status == 200);
+    fleet.platform.isDown = true;
+    fleet.restart(entry);
+    REQUIRE(fleet.ready());
+    CHECK(fleet.eventually([&fleet, &entry] {
+        return fleet.call(entry, "/feebox/").message.status == 200;
+    }));
+}
+
+TEST_CASE("a host that starts again at its address writes nothing into the store")
+{
+    sidecar_fleet fleet;
+    sidecar_host &entry = fleet.add("mapview");
+    fleet.configure(makeRoutes(3, {"feebox"}, true, 2));
+    REQUIRE(fleet.ready());
+    REQUIRE(fleet.eventually([&fleet] {
+        return fleet.platform.holds("cicadamux-hosts", "host-1");
+    }));
+    const std::uint64_t before = fleet.platform.writes;
+    fleet.restart(entry);
+    REQUIRE(fleet.ready());
+    fleet.runFor(clock_ms{500});
+    CHECK(fleet.platform.writes == before);
+}
