--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -77,7 +77,6 @@
 {
     m_startedAt = steadyNow();
     m_mirror->start();
-    writeOwn(m_startedAt);
 }
 
 void host_directory::readEntries(const std::map<std::string, stored_object> &objects)
@@ -114,6 +113,7 @@
         }
     }
     m_hooks.changed();
+    writeOwn(steadyNow());
 }
 
 void host_directory::add(const host_entry &entry)
@@ -336,9 +336,10 @@
     return m_hosts.size() + 1;
 }
 
+/** Writes the own entry unless the store's list has it: a start at the same address changes nothing. */
 void host_directory::writeOwn(clock_ms now)
 {
-    if (m_ownIsCurrent || m_isWriting || m_isLeaving || now < m_nextWrite) {
+    if (!m_isListed || m_ownIsCurrent || m_isWriting || m_isLeaving || now < m_nextWrite) {
         return;
     }
     m_isWriting = true;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -369,11 +369,14 @@
     m_timer.cancel();
     m_configuration.stop();
     m_directory.stop();
-    m_links->stop();
-    m_outbound->close();
-    m_control->close();
-    m_ready->close();
-    m_metrics->close();
+    if (m_links) {
+        m_links->stop();
+    }
+    for (http_server *listener : {m_outbound.get(), m_control.get(), m_ready.get(), m_metrics.get()}) {
+        if (listener != nullptr) { // A start that failed has only some of them.
+            listener->close();
+        }
+    }
 }
 
 } // namespace cicadamux
--- a/tests/unit/sidecar_fleet_fake.cpp
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -127,7 +127,8 @@
 void sidecar_fleet::restart(sidecar_host &host)
 {
     host.running->stop();
-    m_ended.push_back(std::move(host.running)); // Its last handlers are still to run.
+    m_ended.push_back(std::move(host.running)); // Its last handlers are still to run, and then its listeners are closed.
+    runFor(clock_ms{50});
     startSidecar(host);
 }
 
@@ -172,11 +173,14 @@
 bool sidecar_fleet::eventually(const std::function<bool()> &condition)
 {
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(callTimeout.count);
-    while (!condition() && std::chrono::steady_clock::now() < end) {
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end) {
+            return false;
+        }
         context.restart();
         context.run_one_for(std::chrono::milliseconds(20));
     }
-    return condition();
+    return true;
 }
 
 bool sidecar_fleet::ready()
@@ -190,10 +194,11 @@
             m_client.send(host->settings.readyAddress, question, callTimeout, [reply](const http_reply &got) {
                 *reply = got;
             });
+            runFor(clock_ms{10});
             return eventually([&reply] {
                        return reply->has_value();
                    })
-                && (**reply).message.status == 200;
+                && (**reply).failure == http_failure::none && (**reply).message.status == 200;
         });
         if (!came) {
             return false;
