Feature: A sidecar tells operators why a request failed, what is in force and whom it sees

Cause: `cicadamux query` reached daemons only; on the platform an operator had logs, which are bounded under load. Change: `POST /query` on a sidecar's admin address with five lines in one table (why request ID, show in force, show hosts, show gate, help); failures and refusals, at the entry and at the gate, go into a memory of 256 that says how far back it reaches. Ruled out: the daemons' query machinery, which needs the membership view and policies that a sidecar doesn't have.

--- a/src/link/host_link.cpp
+++ b/src/link/host_link.cpp
@@ -195,6 +195,19 @@
     }
 }
 
+std::string_view toString(link_health health)
+{
+    switch (health) {
+    case link_health::up:
+        return "up";
+    case link_health::suspect:
+        return "suspect";
+    case link_health::down:
+        break;
+    }
+    return "down";
+}
+
 link_health host_link::health() const
 {
     if (!m_stream) {
--- a/src/link/host_link_base.h
+++ b/src/link/host_link_base.h
@@ -42,6 +42,9 @@
     down
 };
 
+/** @return The name used in logs and answers, such as `suspect`. */
+std::string_view toString(link_health health);
+
 using link_reply_handler = std::function<void(link_reply reply)>;
 
 /** Used by one thread. Connects by itself and again after a break. */
--- a/src/operator/query.cpp
+++ b/src/operator/query.cpp
@@ -154,17 +154,31 @@
     }
 }
 
-void runQueryBody(std::string_view body, std::shared_ptr<const operator_hooks> hooks, query_handler handler)
+std::optional<std::string> readQueryBody(std::string_view body)
 {
     boost::system::error_code failure;
     const boost::json::value parsed = boost::json::parse(boost::json::string_view(body.data(), body.size()), failure);
     const boost::json::object *object = failure ? nullptr : parsed.if_object();
     const boost::json::value *query = object == nullptr ? nullptr : object->if_contains("query");
     if (query == nullptr || !query->is_string() || object->size() != 1) {
-        handler(formatResultJson(makeAnswer(query_status::usage, "expected a JSON object with the text `query` and nothing else")));
+        return std::nullopt;
+    }
+    return std::string(query->get_string());
+}
+
+query_result malformedQueryBody()
+{
+    return makeAnswer(query_status::usage, "expected a JSON object with the text `query` and nothing else");
+}
+
+void runQueryBody(std::string_view body, std::shared_ptr<const operator_hooks> hooks, query_handler handler)
+{
+    const std::optional<std::string> query = readQueryBody(body);
+    if (!query) {
+        handler(formatResultJson(malformedQueryBody()));
         return;
     }
-    runQuery(std::string_view(query->get_string()), std::move(hooks), std::move(handler));
+    runQuery(*query, std::move(hooks), std::move(handler));
 }
 
 std::string answerAsk(std::string_view query, const operator_hooks &hooks)
--- a/src/operator/query_func.h
+++ b/src/operator/query_func.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include "operator/operator_hooks_type.h"
+#include "operator/query_result_type.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,6 +25,12 @@
  */
 void runQuery(std::string_view text, std::shared_ptr<const operator_hooks> hooks, query_handler handler);
 
+/** Reads the body of `POST /query`. @return The query; nothing if the body is malformed. */
+std::optional<std::string> readQueryBody(std::string_view body);
+
+/** @return The answer to a malformed body. */
+query_result malformedQueryBody();
+
 /** Reads the body of `POST /query` and runs what it asks; a malformed body is answered as a query that isn't understood. */
 void runQueryBody(std::string_view body, std::shared_ptr<const operator_hooks> hooks, query_handler handler);
 
--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -331,6 +331,15 @@
     return run == known->second.runs.end() ? 0 : run->second;
 }
 
+std::vector<seen_host> host_directory::seenHosts() const
+{
+    std::vector<seen_host> result;
+    for (const auto &[host, known] : m_hosts) {
+        result.push_back({host, known.entry.dataCenter, known.entry.service, std::string(toString(known.health)), known.report.value_or(host_report{})});
+    }
+    return result;
+}
+
 std::size_t host_directory::hostCount() const
 {
     return m_hosts.size() + 1;
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -4,6 +4,7 @@
 
 #include "link/host_link_base.h"
 #include "sidecar/sidecar_core_type.h"
+#include "sidecar/sidecar_query_func.h"
 #include "store/object_mirror_base.h"
 
 #include <functional>
@@ -62,6 +63,9 @@
     /** @return Mean run time of a route at another host, milliseconds; 0 if it isn't known. */
     double expectedRun(std::string_view host, std::string_view route) const;
 
+    /** @return All other hosts, for operators. */
+    std::vector<seen_host> seenHosts() const;
+
     /** @return Hosts that are known, this one included. */
     std::size_t hostCount() const;
 
--- a/src/sidecar/request_entry.cpp
+++ b/src/sidecar/request_entry.cpp
@@ -236,26 +236,50 @@
     if (entered.route == nullptr) {
         return;
     }
-    call_outcome outcome = entered.isUnknown ? call_outcome::unknown : call_outcome::not_run;
-    if (reason == outcome_reason::none) {
-        outcome = call_outcome::answered;
-    }
     constexpr double second = 1'000; // Milliseconds.
     const double seconds = static_cast<double>((steadyNow() - entered.arrivedAt).count) / second;
-    m_core.metrics.callEnded(entered.service, entered.route->name, outcome, reason, seconds);
+    m_core.metrics.callEnded(entered.service, entered.route->name, outcomeOf(entered, reason), reason, seconds);
 }
 
-void request_entry::logEnd(const entered_request &entered, unsigned status, outcome_reason reason)
+/** @return What the caller was told; a failure that a backend server made counts as answered. */
+call_outcome request_entry::outcomeOf(const entered_request &entered, outcome_reason reason)
 {
-    const bool isFailure = reason != outcome_reason::none || status >= 500;
-    if (isFailure ? !m_core.log.mayLogFailure() : !m_core.log.mayLogSuccess()) {
-        return;
+    if (reason == outcome_reason::none) {
+        return call_outcome::answered;
     }
-    constexpr double percent = 100;
+    return entered.isUnknown ? call_outcome::unknown : call_outcome::not_run;
+}
+
+void request_entry::remember(const entered_request &entered, unsigned status, outcome_reason reason, const std::string &tried)
+{
+    remembered_request known;
+    known.at = wallNow();
+    known.requestId = entered.requestId;
+    known.route = entered.route == nullptr ? "none" : entered.route->name;
+    known.service = entered.service;
+    known.outcome = outcomeOf(entered, reason);
+    known.reason = reason;
+    known.status = status;
+    known.tried = tried;
+    known.held = steadyNow() - entered.arrivedAt;
+    known.configuration = m_core.routes.version();
+    m_core.failures.note(std::move(known));
+}
+
+void request_entry::logEnd(const entered_request &entered, unsigned status, outcome_reason reason)
+{
+    const bool isFailure = reason != outcome_reason::none || status >= firstServerError;
     std::string tried;
     for (const std::string &host : entered.triedHosts) {
         tried += (tried.empty() ? "" : ",") + host;
     }
+    if (isFailure) {
+        remember(entered, status, reason, tried);
+    }
+    if (isFailure ? !m_core.log.mayLogFailure() : !m_core.log.mayLogSuccess()) {
+        return;
+    }
+    constexpr double percent = 100;
     logEvent(log_level::info,
              isFailure ? "request_failed" : "request_answered",
              {{"request", entered.requestId},
--- a/src/sidecar/request_entry_base.h
+++ b/src/sidecar/request_entry_base.h
@@ -50,6 +50,8 @@
     void respond(const request_pointer &entered, http_response response, outcome_reason reason);
     void noteLostCall(const entered_request &entered, outcome_reason reason);
     void measure(const entered_request &entered, outcome_reason reason);
+    static call_outcome outcomeOf(const entered_request &entered, outcome_reason reason);
+    void remember(const entered_request &entered, unsigned status, outcome_reason reason, const std::string &tried);
     void logEnd(const entered_request &entered, unsigned status, outcome_reason reason);
 
     sidecar_core &m_core;
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -358,10 +358,29 @@
     carryOut();
 }
 
+void server_gate::remember(const gated_call &call, const link_reply &reply) const
+{
+    remembered_request known;
+    known.at = wallNow();
+    known.atGate = true;
+    known.requestId = call.call.requestId;
+    known.route = call.call.route;
+    known.service = call.call.service;
+    known.outcome = reply.outcome;
+    known.reason = reply.reason;
+    known.tried = call.serverId;
+    known.held = steadyNow() - call.arrivedAt;
+    known.configuration = m_core.routes.version();
+    m_core.failures.note(std::move(known));
+}
+
 void server_gate::logOutcome(const gated_call &call, const link_reply &reply) const
 {
-    const bool isAnswered = reply.outcome == call_outcome::answered;
-    if (isAnswered || !m_core.log.mayLogFailure()) {
+    if (reply.outcome == call_outcome::answered) {
+        return;
+    }
+    remember(call, reply);
+    if (!m_core.log.mayLogFailure()) {
         return;
     }
     const slot_snapshot queue = m_queue.snapshot();
--- a/src/sidecar/server_gate_base.h
+++ b/src/sidecar/server_gate_base.h
@@ -74,6 +74,7 @@
     void deadlinePassed(const call_pointer &call);
     void cancel(const call_pointer &call);
     void refuse(const link_answer &answer, outcome_reason reason, clock_ms retryAfter);
+    void remember(const gated_call &call, const link_reply &reply) const;
     void logOutcome(const gated_call &call, const link_reply &reply) const;
 
     sidecar_core &m_core;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -6,6 +6,7 @@
 #include "daemon/call_headers_func.h"
 #include "daemon/settings_parts_func.h"
 #include "http/http_fields_func.h"
+#include "operator/query_func.h"
 #include "sidecar/own_answer_func.h"
 
 #include <ctime>
@@ -17,6 +18,7 @@
 {
 constexpr clock_ms tickPeriod{50}; ///< Bounds how late a waiting call is refused.
 constexpr clock_ms slowTickPeriod{200}; ///< Probes of links and repairs of the own entry.
+constexpr std::size_t rememberedFailures = 256; ///< For operators; about 100 KB, and at 60 failures a second some seconds.
 constexpr clock_ms logReportPeriod{1'000};
 constexpr clock_ms stallLimit{1'200}; ///< The loop never takes that long by itself: the host stood still.
 constexpr clock_ms distrustTime{100}; ///< After a stall, for what was read before it to pass.
@@ -62,6 +64,7 @@
     , upstreams(routerSettingsOf(settings), threadRandom)
     , repeats(budgetSettings(bounds))
     , log(decision_log_settings{})
+    , failures(rememberedFailures)
 {
 }
 
@@ -126,8 +129,12 @@
         m_context,
         settings.adminAddress,
         limits,
-        [this](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
-            handleMetrics(exchange);
+        [this](const http_request &request, const std::shared_ptr<http_exchange> &exchange) {
+            if (request.target == "/query") {
+                handleQuery(request, exchange);
+            } else {
+                handleMetrics(exchange);
+            }
         },
         malformed);
     m_outbound = std::make_unique<http_server>(
@@ -239,6 +246,26 @@
     exchange->respond(std::move(response));
 }
 
+void sidecar::handleQuery(const http_request &request, const std::shared_ptr<http_exchange> &exchange) const
+{
+    const std::optional<std::string> line = readQueryBody(request.body);
+    const query_result result = line ? answerSidecarQuery(*line, view()) : malformedQueryBody();
+    exchange->respond(makeJsonResponse(statusOk, formatResultJson(result)));
+}
+
+sidecar_view sidecar::view() const
+{
+    sidecar_view view;
+    view.host = m_core.settings.host;
+    view.configuration = m_core.routes.version();
+    view.routes = view.configuration == 0 ? 0 : m_core.routes.current()->routes.size();
+    view.own = m_gate.report();
+    view.hosts = m_directory.seenHosts();
+    view.requests = &m_core.failures;
+    view.now = wallNow();
+    return view;
+}
+
 bool sidecar::isReady() const
 {
     const bool hasJoined = !m_directory.upstreams(steadyNow()).empty() || steadyNow() - m_startedAt > joinTime;
--- a/src/sidecar/sidecar_base.h
+++ b/src/sidecar/sidecar_base.h
@@ -9,6 +9,7 @@
 #include "sidecar/request_entry_base.h"
 #include "sidecar/server_gate_base.h"
 #include "sidecar/sidecar_core_type.h"
+#include "sidecar/sidecar_query_func.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -42,6 +43,8 @@
     host_directory_hooks directoryHooks();
     void handleReady(const http_request &request, const std::shared_ptr<http_exchange> &exchange) const;
     void handleControl(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
+    void handleQuery(const http_request &request, const std::shared_ptr<http_exchange> &exchange) const;
+    sidecar_view view() const;
     void handleMetrics(const std::shared_ptr<http_exchange> &exchange);
     bool isReady() const;
     void configurationChanged();
--- a/src/sidecar/sidecar_core_type.h
+++ b/src/sidecar/sidecar_core_type.h
@@ -10,6 +10,7 @@
 #include "routing/router_base.h"
 #include "settings/settings_type.h"
 #include "sidecar/decision_log_base.h"
+#include "sidecar/request_memory_base.h"
 #include "sidecar/sidecar_adapter_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -33,6 +34,7 @@
     repeat_budget repeats;
     daemon_metrics metrics;
     decision_log log;
+    request_memory failures;
     bool stopping = false; ///< A planned stop has begun.
 };
 
--- a/tests/unit/link_test.cpp
+++ b/tests/unit/link_test.cpp
@@ -183,7 +183,7 @@
     pair.runUntil([] {
         return false;
     });
-    CHECK(pair.link->health() == link_health::down);
+    CHECK((pair.link->health() == link_health::down));
     pair.send();
     CHECK_FALSE(pair.sent.isValid());
 }
--- a/tests/unit/sidecar_fleet_fake.cpp
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -161,13 +161,19 @@
     message.method = "PUT";
     message.target = "/beat";
     message.body = body.str();
-    auto isOver = std::make_shared<bool>(false);
-    m_client.send(host.settings.localAddress, message, callTimeout, [isOver](const http_reply &) {
-        *isOver = true;
+    post(host.settings.localAddress, message);
+}
+
+http_reply sidecar_fleet::post(const std::string &address, const http_message &message)
+{
+    auto reply = std::make_shared<std::optional<http_reply>>();
+    m_client.send(address, message, callTimeout, [reply](const http_reply &got) {
+        *reply = got;
     });
-    eventually([&isOver] {
-        return *isOver;
+    eventually([&reply] {
+        return reply->has_value();
     });
+    return reply->value_or(http_reply{http_failure::timeout, {}});
 }
 
 bool sidecar_fleet::eventually(const std::function<bool()> &condition)
@@ -190,15 +196,9 @@
             http_message question;
             question.method = "GET";
             question.target = "/ready";
-            auto reply = std::make_shared<std::optional<http_reply>>();
-            m_client.send(host->settings.readyAddress, question, callTimeout, [reply](const http_reply &got) {
-                *reply = got;
-            });
             runFor(clock_ms{10});
-            return eventually([&reply] {
-                       return reply->has_value();
-                   })
-                && (**reply).failure == http_failure::none && (**reply).message.status == 200;
+            const http_reply reply = post(host->settings.readyAddress, question);
+            return reply.failure == http_failure::none && reply.message.status == 200;
         });
         if (!came) {
             return false;
--- a/tests/unit/sidecar_fleet_fake.h
+++ b/tests/unit/sidecar_fleet_fake.h
@@ -69,6 +69,9 @@
     /** Sends a request and runs until it ends. */
     http_reply call(sidecar_host &host, const std::string &target, clock_ms deadline = clock_ms{5'000});
 
+    /** Sends a message to any listener and runs until it is answered. */
+    http_reply post(const std::string &address, const http_message &message);
+
     /** A whole answer of a backend server, signed and with the request's id. */
     static http_message goodAnswer(const http_message &request, unsigned status = 200);
 
--- /dev/null
+++ b/tests/unit/sidecar_query_test.cpp
@@ -0,0 +1,95 @@
+/** @file sidecar_query_test.cpp What a sidecar tells operators. */
+
+#include "sidecar/sidecar_query_func.h"
+#include "sidecar_fleet_fake.h"
+
+#include <doctest/doctest.h>
+
+using namespace cicadamux;
+using namespace cicadamux::test;
+
+namespace
+{
+
+remembered_request makeRemembered(const std::string &id, std::int64_t at)
+{
+    remembered_request known;
+    known.at = clock_ms{at};
+    known.requestId = id;
+    known.reason = outcome_reason::queue_timeout;
+    known.outcome = call_outcome::not_run;
+    known.status = 503;
+    known.tried = "host-1,host-2";
+    known.held = clock_ms{170};
+    return known;
+}
+
+/** Asks a host's sidecar as `cicadamux query` does. */
+query_result ask(sidecar_fleet &fleet, const sidecar_host &host, const std::string &line)
+{
+    http_message request;
+    request.method = "POST";
+    request.target = "/query";
+    request.body = R"({"query":")" + line + R"("})";
+    return parseResultJson(fleet.post(host.settings.adminAddress, request).message.body);
+}
+
+} // namespace
+
+TEST_CASE("a failed request is explained from a bounded memory that says how far it reaches")
+{
+    request_memory memory(2);
+    sidecar_view view;
+    view.host = "host-0";
+    view.requests = &memory;
+    view.now = clock_ms{9'000};
+    memory.note(makeRemembered("a", 1'000));
+    const query_result found = answerSidecarQuery("why request a", view);
+    CHECK((found.status == query_status::ok));
+    CHECK(found.summary == "answered 503 after 170 ms: queue_timeout; sent to host-1,host-2");
+    memory.note(makeRemembered("b", 2'000));
+    CHECK(answerSidecarQuery("why request c", view).summary.find("since its start") != std::string::npos);
+    memory.note(makeRemembered("c", 3'000));
+    const query_result forgotten = answerSidecarQuery("why request a", view);
+    CHECK((forgotten.status == query_status::not_found));
+    CHECK(forgotten.summary == "host-0 remembers no failure of request a; it remembers all of them for the last 8 s");
+}
+
+TEST_CASE("a line that a sidecar doesn't know is told as not understood and help lists those that it knows")
+{
+    request_memory memory(2);
+    sidecar_view view;
+    view.requests = &memory;
+    for (const char *line : {"", "why", "why request", "why request a b", "show members", "drop everything"}) {
+        CHECK((answerSidecarQuery(line, view).status == query_status::usage));
+    }
+    const query_result help = answerSidecarQuery("help", view);
+    REQUIRE(help.tables.size() == 1);
+    CHECK(help.tables[0].rows.size() == 5);
+    CHECK((answerSidecarQuery("show in force", view).status == query_status::not_found));
+}
+
+TEST_CASE("an operator follows a refused request from the host where it came in to the gate that ended it")
+{
+    sidecar_fleet fleet;
+    sidecar_host &entry = fleet.add("mapview");
+    sidecar_host &target = fleet.add("feebox");
+    fleet.configure(makeRoutes(3, {"feebox"}, false, 2));
+    fleet.beat(target, "i-1", 4);
+    REQUIRE(fleet.ready());
+    target.serve = [](const std::shared_ptr<test::http_exchange> &exchange) {
+        exchange->close();
+    };
+    const http_reply reply = fleet.call(entry, "/feebox/");
+    REQUIRE(reply.message.status == 502);
+    const std::string id(headerOf(reply.message, "x-id"));
+    const query_result atEntry = ask(fleet, entry, "why request " + id);
+    CHECK(atEntry.summary.find("answered 502") == 0);
+    CHECK(atEntry.summary.ends_with("sent to host-2"));
+    CHECK(ask(fleet, target, "why request " + id).summary == "the gate ended it as unknown: connection_lost");
+    CHECK(ask(fleet, entry, "show in force").summary == "configuration 3 with 1 routes");
+    const query_result hosts = ask(fleet, entry, "show hosts");
+    REQUIRE(hosts.tables.size() == 1);
+    CHECK(hosts.tables[0].rows.size() == 1);
+    CHECK(ask(fleet, target, "show gate").summary.find("server serving; 0 of ") == 0);
+}
