--- /dev/null
+++ b/src/core/byte_budget.cpp
@@ -0,0 +1,87 @@
+/** @file byte_budget.cpp A bound for the bytes that a process holds for others. */
+
+#include "core/byte_budget_base.h"
+
+#include <utility>
+
+namespace cicadamux
+{
+
+byte_budget::byte_budget(std::size_t limit)
+    : m_limit(limit)
+{
+}
+
+bool byte_budget::take(std::size_t bytes)
+{
+    const std::size_t before = m_used.fetch_add(bytes);
+    if (before + bytes <= m_limit) {
+        return true;
+    }
+    m_used.fetch_sub(bytes);
+    return false;
+}
+
+void byte_budget::add(std::size_t bytes)
+{
+    m_used.fetch_add(bytes);
+}
+
+void byte_budget::give(std::size_t bytes)
+{
+    m_used.fetch_sub(bytes);
+}
+
+std::size_t byte_budget::used() const
+{
+    return m_used.load();
+}
+
+byte_hold::byte_hold(std::shared_ptr<byte_budget> budget)
+    : m_budget(std::move(budget))
+{
+}
+
+byte_hold::~byte_hold()
+{
+    set(0);
+}
+
+byte_hold::byte_hold(byte_hold &&other) noexcept
+    : m_budget(std::move(other.m_budget))
+    , m_bytes(std::exchange(other.m_bytes, 0))
+{
+}
+
+byte_hold &byte_hold::operator=(byte_hold &&other) noexcept
+{
+    if (this != &other) {
+        set(0);
+        m_budget = std::move(other.m_budget);
+        m_bytes = std::exchange(other.m_bytes, 0);
+    }
+    return *this;
+}
+
+bool byte_hold::take(std::size_t bytes)
+{
+    if (m_budget && bytes > m_bytes && !m_budget->take(bytes - m_bytes)) {
+        return false;
+    }
+    if (m_budget && bytes < m_bytes) {
+        m_budget->give(m_bytes - bytes);
+    }
+    m_bytes = bytes;
+    return true;
+}
+
+void byte_hold::set(std::size_t bytes)
+{
+    if (m_budget) {
+        m_budget->add(bytes);
+        m_budget->give(m_bytes);
+    }
+    m_bytes = bytes;
+}
+
+} // namespace cicadamux
--- a/src/daemon/call_entry.cpp
+++ b/src/daemon/call_entry.cpp
@@ -33,6 +33,7 @@
     case http_read_failure::body_too_large:
         return outcome_reason::too_large;
     case http_read_failure::too_many_connections:
+    case http_read_failure::too_much_held:
         return outcome_reason::daemon_busy;
     case http_read_failure::malformed:
     case http_read_failure::too_slow:
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -135,6 +135,11 @@
     return detail::formatEndpoint(m_state->acceptor.local_endpoint());
 }
 
+void http_server::setBudget(std::shared_ptr<byte_budget> budget)
+{
+    m_state->shared->budget = std::move(budget);
+}
+
 void http_server::setLimits(const http_limits &limits)
 {
     m_state->shared->limits = limits;
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/byte_budget_base.h"
 #include "core/error_type.h"
 #include "http/http_type.h"
 
@@ -43,6 +44,9 @@
     void open();
 
     /** Replaces the limits for what is read from now on. Only where the context runs on one thread. */
+    /** Bounds the bytes of bodies and responses, together with all others that share the budget; before open(). */
+    void setBudget(std::shared_ptr<byte_budget> budget);
+
     void setLimits(const http_limits &limits);
 
     /** Accepts no more connections; those that are there are closed after their next answer. */
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -51,6 +51,7 @@
             return;
         }
         self->m_gone = nullptr;
+        self->m_answer.set(response.body.size());
         self->m_response = std::move(response);
         self->m_session->flush();
     });
@@ -76,6 +77,7 @@
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
     , m_shared(std::move(shared))
+    , m_body(m_shared->budget)
 {
     m_shared->open.fetch_add(1);
     beast::error_code ignored;
@@ -167,6 +169,10 @@
     }
     const bool firstPart = m_reading != read_state::body;
     m_reading = read_state::body;
+    if (firstPart && !m_body.take(static_cast<std::size_t>(m_parser->content_length().value_or(0)))) {
+        refuseRequest(http_read_failure::too_much_held);
+        return;
+    }
     if (firstPart && m_shared->limits.bodyTimeout.count > 0) {
         armTimer(m_shared->limits.bodyTimeout);
     } else if (!m_expiry || m_turns.empty()) {
@@ -236,6 +242,9 @@
     request.body = std::move(message.body());
     request.remoteAddress = m_remoteAddress;
     const auto turn = std::make_shared<http_turn>(shared_from_this(), message.keep_alive());
+    m_body.set(request.body.size()); // One in chunks says its length only now.
+    turn->m_body = std::exchange(m_body, byte_hold(m_shared->budget));
+    turn->m_answer = byte_hold(m_shared->budget);
     m_turns.push_back(turn);
     m_reading = read_state::paused;
     m_shared->handler(std::move(request), turn);
--- a/src/http/http_session_base.h
+++ b/src/http/http_session_base.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/byte_budget_base.h"
 #include "http/http_type.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -25,6 +26,7 @@
     http_limits limits;
     http_handler handler;
     http_malformed malformed;
+    std::shared_ptr<byte_budget> budget; ///< For bodies and responses; null: no bound.
     std::atomic<bool> draining{false}; ///< Close after the next answer.
     std::atomic<std::uint32_t> open{0}; ///< Connections now open.
 };
@@ -91,6 +93,7 @@
     std::shared_ptr<http_session_shared> m_shared;
     boost::beast::flat_buffer m_buffer;
     std::optional<request_parser> m_parser;
+    byte_hold m_body; ///< Of the request that is being read.
     std::deque<std::shared_ptr<http_turn>> m_turns; ///< Requests that aren't answered, the first one first.
     response_message m_response; ///< Being written.
     std::array<char, 512> m_discarded{};
@@ -117,6 +120,8 @@
     friend class http_session;
 
     std::shared_ptr<http_session> m_session; ///< Lives as long as a request isn't answered; the session drops its turns when it closes.
+    byte_hold m_body; ///< Of the request.
+    byte_hold m_answer; ///< Of the response until it is written.
     std::optional<http_response> m_response;
     std::function<void()> m_gone;
     bool m_keepsAlive = true;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -70,7 +70,8 @@
     body_too_large,
     too_slow, ///< The rest didn't arrive in time.
     truncated, ///< The connection ended before the rest arrived.
-    too_many_connections
+    too_many_connections,
+    too_much_held ///< The process holds as many bytes as it may; nothing was read.
 };
 
 using http_handler = std::function<void(http_request request, std::shared_ptr<http_exchange> exchange)>;
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -57,6 +57,7 @@
     setting_row{ "platform.calls_per_minute", &top<&settings::platformCallsPerMinute>, false, name, "calls a minute", 1, 100'000, "This daemon's budget of calls to the platform" },
     setting_row{ "platform.bounds", &top<&settings::platformBounds>, true, text_form::file, "", 0, 0, "Bounds of the fleet, as the platform writes them", settings_profile::sidecar },
     setting_row{ "limits.threads", &top<&settings::threads>, false, name, "threads", 1, 64, "Worker threads" },
+    setting_row{ "limits.memory_mb", &top<&settings::memoryMb>, false, name, "MB", 0, 1'048'576, "Memory that the process may use; a part of it bounds the bytes held for requests and answers; 0: no bound", settings_profile::sidecar },
     setting_row{ "limits.connections", &top<&settings::maxConnections>, false, name, "connections", 1, 65'536, "Open connections on each HTTP listener" },
     setting_row{ "limits.calls", &top<&settings::maxCalls>, false, name, "calls", 1, 1'048'576, "Calls held at a time" },
     setting_row{ "limits.header_bytes", &top<&settings::maxHeaderBytes>, false, name, "bytes", 256, 1'048'576, "Header of one request or answer" },
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -47,6 +47,7 @@
     std::uint32_t threads = 2; ///< Worker threads.
     std::uint32_t maxConnections = 4'096; ///< On each HTTP listener.
     std::uint32_t maxCalls = 8'192; ///< Calls held at a time.
+    std::uint32_t memoryMb = 0; ///< Memory that the process may use; 0: no bound is kept.
     std::size_t maxHeaderBytes = 16'384; ///< Header of one request or answer.
     std::size_t maxBodyBytes = 1'048'576; ///< Body of one request or answer.
     clock_ms idleTimeout{60'000}; ///< Until an idle connection is closed.
--- a/src/sidecar/own_answer.cpp
+++ b/src/sidecar/own_answer.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 constexpr clock_ms leastRetryAfter{50}; ///< For Retry-After.
+constexpr clock_ms unreadRetry{500}; ///< Retry-After while a bound of the process is reached.
 
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
@@ -39,6 +40,14 @@
     return text.data();
 }
 
+/** For requests that weren't even read. */
+http_response makeRefusal(std::string_view text)
+{
+    http_response response = makeFailure(statusUnavailable, text);
+    response.headers.push_back({"Retry-After", formatSeconds(unreadRetry)});
+    return response;
+}
+
 unsigned failureStatus(bool isUnknown, outcome_reason reason)
 {
     switch (reason) {
@@ -66,7 +75,9 @@
     case http_read_failure::too_slow:
         return makeFailure(statusTimeout, "request too slow");
     case http_read_failure::too_many_connections:
-        return makeFailure(statusUnavailable, "too many connections");
+        return makeRefusal("too many connections");
+    case http_read_failure::too_much_held:
+        return makeRefusal("too many bytes held");
     case http_read_failure::malformed:
     case http_read_failure::truncated:
         break;
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -60,6 +60,7 @@
     bool isRunning = false; ///< Holds a slot.
     std::string serverId; ///< Incarnation it was sent to.
     std::shared_ptr<http_pending> pending;
+    byte_hold body;
     boost::asio::steady_timer timer;
 };
 
@@ -84,7 +85,13 @@
         refuse(answer, outcome_reason::no_upstream, refusedRetry);
         return [] {};
     }
+    byte_hold body(m_core.heldBytes);
+    if (!body.take(call.body.size())) {
+        refuse(answer, outcome_reason::daemon_busy, refusedRetry);
+        return [] {};
+    }
     const auto gated = std::make_shared<gated_call>(m_core.context);
+    gated->body = std::move(body);
     gated->id = call_id{++m_lastId};
     gated->arrivedAt = now;
     gated->deadline = now + call.remaining;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -18,6 +18,7 @@
 {
 constexpr clock_ms tickPeriod{50}; ///< Bounds how late a waiting call is refused.
 constexpr clock_ms slowTickPeriod{200}; ///< Probes of links and repairs of the own entry.
+constexpr std::size_t heldPart = 6; ///< Of the memory that the process may use: a body stands in the request, in a message and in the sockets at the same time.
 constexpr std::size_t rememberedFailures = 256; ///< For operators; about 100 KB, and at 60 failures a second some seconds.
 constexpr clock_ms logReportPeriod{1'000};
 constexpr clock_ms stallLimit{1'200}; ///< The loop never takes that long by itself: the host stood still.
@@ -53,6 +54,12 @@
     settings.slack = 1;
     return settings;
 }
+/** @return Null for no bound. */
+std::shared_ptr<byte_budget> makeBudget(std::uint32_t memoryMb)
+{
+    constexpr std::size_t megabyte = 1'000'000; // Bytes.
+    return memoryMb == 0 ? nullptr : std::make_shared<byte_budget>(memoryMb * megabyte / heldPart);
+}
 } // namespace
 
 sidecar_core::sidecar_core(boost::asio::io_context &ioContext, const daemon_settings &daemonSettings, sidecar_adapter platformAdapter)
@@ -65,6 +72,7 @@
     , repeats(budgetSettings(bounds))
     , log(decision_log_settings{})
     , failures(rememberedFailures)
+    , heldBytes(makeBudget(settings.memoryMb))
 {
 }
 
@@ -145,6 +153,7 @@
             m_entry.handle(std::move(request), exchange);
         },
         malformed);
+    m_outbound->setBudget(m_core.heldBytes);
     m_ready->open();
     m_control->open();
     m_metrics->open();
@@ -238,6 +247,7 @@
     m_core.metrics.setGauge("gate_in_use", report.inUse);
     m_core.metrics.setGauge("gate_waiting", report.waiting);
     m_core.metrics.setGauge("requests_open", static_cast<double>(m_entry.openCount()));
+    m_core.metrics.setGauge("held_bytes", m_core.heldBytes ? static_cast<double>(m_core.heldBytes->used()) : 0);
     m_core.metrics.setGauge("hosts_known", static_cast<double>(m_directory.hostCount()));
     m_core.metrics.setGauge("configuration_version", static_cast<double>(report.configurationVersion));
     http_response response;
--- a/src/sidecar/sidecar_core_type.h
+++ b/src/sidecar/sidecar_core_type.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/byte_budget_base.h"
 #include "core/clock_type.h"
 #include "core/id_type.h"
 #include "metrics/metrics_func.h"
@@ -35,6 +36,7 @@
     daemon_metrics metrics;
     decision_log log;
     request_memory failures;
+    std::shared_ptr<byte_budget> heldBytes; ///< Of requests and answers; null: no bound.
     bool stopping = false; ///< A planned stop has begun.
 };
 
--- /dev/null
+++ b/tests/unit/byte_budget_test.cpp
@@ -0,0 +1,57 @@
+/** @file byte_budget_test.cpp The bound for bytes that a process holds. */
+
+#include "core/byte_budget_base.h"
+#include "sidecar_fleet_fake.h"
+
+#include <doctest/doctest.h>
+
+using namespace cicadamux;
+using namespace cicadamux::test;
+
+TEST_CASE("bytes beyond a budget are refused and those of an ended hold are free again")
+{
+    const auto budget = std::make_shared<byte_budget>(100);
+    byte_hold first(budget);
+    CHECK(first.take(60));
+    {
+        byte_hold second(budget);
+        CHECK_FALSE(second.take(41));
+        CHECK(second.take(40));
+        CHECK_FALSE(first.take(61));
+        byte_hold moved = std::move(second);
+        CHECK(budget->used() == 100);
+    }
+    CHECK(budget->used() == 60);
+    first.set(300); // Held already: counts beyond the limit.
+    CHECK(budget->used() == 300);
+    CHECK(first.take(10));
+    CHECK(budget->used() == 10);
+    byte_hold unbounded;
+    CHECK(unbounded.take(1'000'000'000));
+}
+
+TEST_CASE("a body beyond the memory for bodies is refused unread with a time to come back and smaller ones go on")
+{
+    holding_host host(4, 3); // A sixth of 3 MB: 500,000 bytes.
+    auto &[fleet, held, entry] = host;
+    const auto first = fleet.send(entry, "/feebox/", clock_ms{5'000}, std::string(200'000, 'x'));
+    REQUIRE(host.holds(1));
+    const auto second = fleet.send(entry, "/feebox/", clock_ms{5'000}, std::string(200'000, 'x'));
+    REQUIRE(fleet.eventually([&second] {
+        return second->has_value();
+    }));
+    CHECK((**second).message.status == 503);
+    CHECK_FALSE(headerOf((**second).message, "retry-after").empty());
+    CHECK(held.size() == 1);
+    sidecar_fleet::answerWell(held.front());
+    REQUIRE(fleet.eventually([&first] {
+        return first->has_value();
+    }));
+    CHECK((**first).message.status == 200);
+    entry.serve = sidecar_fleet::answerWell;
+    const auto third = fleet.send(entry, "/feebox/", clock_ms{5'000}, std::string(200'000, 'x'));
+    REQUIRE(fleet.eventually([&third] {
+        return third->has_value();
+    }));
+    CHECK((**third).message.status == 200);
+}
--- a/tests/unit/sidecar_fleet_fake.cpp
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -67,7 +67,10 @@
 }
 } // namespace
 
-sidecar_fleet::sidecar_fleet() = default;
+sidecar_fleet::sidecar_fleet(std::uint32_t hostMemoryMb)
+    : m_memoryMb(hostMemoryMb)
+{
+}
 
 sidecar_fleet::~sidecar_fleet()
 {
@@ -106,6 +109,7 @@
     host.serve = std::move(serve);
     host.settings.host = host.name;
     host.settings.dataCenter = "tbs-1";
+    host.settings.memoryMb = m_memoryMb;
     host.settings.backendService = service;
     host.settings.edgeAddress = freeAddress();
     host.settings.localAddress = freeAddress();
@@ -207,11 +211,12 @@
     return true;
 }
 
-std::shared_ptr<std::optional<http_reply>> sidecar_fleet::send(sidecar_host &host, const std::string &target, clock_ms deadline)
+std::shared_ptr<std::optional<http_reply>> sidecar_fleet::send(sidecar_host &host, const std::string &target, clock_ms deadline, const std::string &body)
 {
     http_message request;
-    request.method = "GET";
+    request.method = body.empty() ? "GET" : "PUT";
     request.target = target;
+    request.body = body;
     request.headers = {{"host", "shop.example"}, {"x-id", "r-" + std::to_string(++m_lastRequest)}, {"x-deadline", std::to_string(deadline.count)}};
     auto reply = std::make_shared<std::optional<http_reply>>();
     m_client.send(host.settings.edgeAddress, request, callTimeout, [reply](const http_reply &got) {
@@ -243,6 +248,37 @@
     exchange->answer(goodAnswer(exchange->request()));
 }
 
+two_hosts::two_hosts(bool idempotent, served_handler serve)
+    : entry(fleet.add("mapview"))
+    , target(fleet.add("feebox", std::move(serve)))
+{
+    fleet.configure(makeRoutes(3, {"feebox"}, idempotent, 2));
+    fleet.beat(target, "i-1", 4);
+    if (!fleet.ready()) {
+        throw error("two hosts didn't get ready");
+    }
+}
+
+holding_host::holding_host(std::uint32_t slots, std::uint32_t memoryMb)
+    : fleet(memoryMb)
+    , entry(fleet.add("feebox", [this](const std::shared_ptr<test::http_exchange> &exchange) {
+        held.push_back(exchange);
+    }))
+{
+    fleet.configure(makeRoutes(3, {"feebox"}, false, 2));
+    fleet.beat(entry, "i-1", slots);
+    if (!fleet.ready()) {
+        throw error("a host didn't get ready");
+    }
+}
+
+bool holding_host::holds(std::size_t count)
+{
+    return fleet.eventually([this, count] {
+        return held.size() == count;
+    });
+}
+
 route_configuration makeRoutes(std::uint64_t version, const std::vector<std::string> &services, bool idempotent, std::uint32_t maxServers)
 {
     route_configuration configuration;
--- a/tests/unit/sidecar_fleet_fake.h
+++ b/tests/unit/sidecar_fleet_fake.h
@@ -38,11 +38,13 @@
 class sidecar_fleet
 {
 public:
-    sidecar_fleet();
     ~sidecar_fleet();
     sidecar_fleet(const sidecar_fleet &) = delete;
     sidecar_fleet &operator=(const sidecar_fleet &) = delete;
 
+    /** @param hostMemoryMb Setting `limits.memory_mb` of all hosts. */
+    explicit sidecar_fleet(std::uint32_t hostMemoryMb = 0);
+
     /** Starts a host whose backend server serves with `serve`, by default with a good answer. */
     sidecar_host &add(const std::string &service, served_handler serve = answerWell);
 
@@ -64,7 +66,7 @@
     bool ready();
 
     /** Sends a request to a host's sidecar. */
-    std::shared_ptr<std::optional<http_reply>> send(sidecar_host &host, const std::string &target, clock_ms deadline);
+    std::shared_ptr<std::optional<http_reply>> send(sidecar_host &host, const std::string &target, clock_ms deadline, const std::string &body = {});
 
     /** Sends a request and runs until it ends. */
     http_reply call(sidecar_host &host, const std::string &target, clock_ms deadline = clock_ms{5'000});
@@ -85,6 +87,7 @@
     void startServer(sidecar_host &host);
     void startSidecar(sidecar_host &host);
 
+    std::uint32_t m_memoryMb;
     std::map<std::string, route_configuration> m_configurations; ///< By the text in the store.
     std::vector<std::unique_ptr<sidecar_host>> m_hosts;
     std::vector<std::unique_ptr<sidecar>> m_ended;
@@ -92,6 +95,29 @@
     std::uint64_t m_lastRequest = 0;
 };
 
+/** A host without a backend server in use, and one whose backend server `i-1` serves `feebox`; both are ready. */
+struct two_hosts {
+    /** @throws cicadamux::error if they don't get ready. */
+    explicit two_hosts(bool idempotent, served_handler serve = sidecar_fleet::answerWell);
+
+    sidecar_fleet fleet;
+    sidecar_host &entry;
+    sidecar_host &target;
+};
+
+/** One host whose own backend server `i-1` serves `feebox`, and keeps each request until the test answers it. */
+struct holding_host {
+    /** @throws cicadamux::error if it doesn't get ready. */
+    explicit holding_host(std::uint32_t slots, std::uint32_t memoryMb = 0);
+
+    /** Runs until so many requests are held. */
+    bool holds(std::size_t count);
+
+    sidecar_fleet fleet;
+    std::vector<std::shared_ptr<test::http_exchange>> held;
+    sidecar_host &entry;
+};
+
 /** @return A configuration with one route, `/SERVICE/`, for each service. */
 route_configuration makeRoutes(std::uint64_t version, const std::vector<std::string> &services, bool idempotent, std::uint32_t maxServers);
 
--- a/tests/unit/sidecar_query_test.cpp
+++ b/tests/unit/sidecar_query_test.cpp
@@ -71,12 +71,8 @@
 
 TEST_CASE("an operator follows a refused request from the host where it came in to the gate that ended it")
 {
-    sidecar_fleet fleet;
-    sidecar_host &entry = fleet.add("mapview");
-    sidecar_host &target = fleet.add("feebox");
-    fleet.configure(makeRoutes(3, {"feebox"}, false, 2));
-    fleet.beat(target, "i-1", 4);
-    REQUIRE(fleet.ready());
+    two_hosts hosts(false);
+    auto &[fleet, entry, target] = hosts;
     target.serve = [](const std::shared_ptr<test::http_exchange> &exchange) {
         exchange->close();
     };
@@ -88,8 +84,8 @@
     CHECK(atEntry.summary.ends_with("sent to host-2"));
     CHECK(ask(fleet, target, "why request " + id).summary == "the gate ended it as unknown: connection_lost");
     CHECK(ask(fleet, entry, "show in force").summary == "configuration 3 with 1 routes");
-    const query_result hosts = ask(fleet, entry, "show hosts");
-    REQUIRE(hosts.tables.size() == 1);
-    CHECK(hosts.tables[0].rows.size() == 1);
+    const query_result seen = ask(fleet, entry, "show hosts");
+    REQUIRE(seen.tables.size() == 1);
+    CHECK(seen.tables[0].rows.size() == 1);
     CHECK(ask(fleet, target, "show gate").summary.find("server serving; 0 of ") == 0);
 }
--- a/tests/unit/sidecar_test.cpp
+++ b/tests/unit/sidecar_test.cpp
@@ -21,12 +21,8 @@
 
 TEST_CASE("a request goes to another host's backend server and its whole answer comes back")
 {
-    sidecar_fleet fleet;
-    sidecar_host &entry = fleet.add("mapview");
-    sidecar_host &target = fleet.add("feebox");
-    fleet.configure(makeRoutes(3, {"feebox"}, true, 2));
-    fleet.beat(target, "i-1", 4);
-    REQUIRE(fleet.ready());
+    two_hosts hosts(true);
+    auto &[fleet, entry, target] = hosts;
     const http_reply reply = fleet.call(entry, "/feebox/a?b=c");
     CHECK(reply.message.status == 200);
     CHECK(reply.message.body == "answer to /feebox/a?b=c");
@@ -110,12 +106,8 @@
 
 TEST_CASE("nothing is sent to a server after its departure was acknowledged and the caller hears that nothing ran (DRAIN)")
 {
-    sidecar_fleet fleet;
-    sidecar_host &entry = fleet.add("mapview");
-    sidecar_host &target = fleet.add("feebox");
-    fleet.configure(makeRoutes(3, {"feebox"}, false, 2));
-    fleet.beat(target, "i-1", 4);
-    REQUIRE(fleet.ready());
+    two_hosts hosts(false);
+    auto &[fleet, entry, target] = hosts;
     CHECK(fleet.call(entry, "/feebox/").message.status == 200);
     fleet.beat(target, "i-1", 4, "draining");
     CHECK(fleet.call(entry, "/feebox/").message.status == 503);
@@ -126,14 +118,8 @@
 
 TEST_CASE("a request without an answer ends at its limit with a status that promises nothing (CONFIG)")
 {
-    sidecar_fleet fleet;
-    std::vector<std::shared_ptr<test::http_exchange>> held;
-    sidecar_host &entry = fleet.add("feebox", [&held](const std::shared_ptr<test::http_exchange> &exchange) {
-        held.push_back(exchange);
-    });
-    fleet.configure(makeRoutes(3, {"feebox"}, false, 2));
-    fleet.beat(entry, "i-1", 4);
-    REQUIRE(fleet.ready());
+    holding_host host(4);
+    auto &[fleet, held, entry] = host;
     const http_reply reply = fleet.call(entry, "/feebox/", clock_ms{200});
     CHECK(reply.message.status == 504);
     CHECK(headerOf(reply.message, "retry-after").empty());
@@ -141,18 +127,10 @@
 
 TEST_CASE("a request that waits for a slot when its server's time is over is told as not run (REFUSED)")
 {
-    sidecar_fleet fleet;
-    std::vector<std::shared_ptr<test::http_exchange>> held;
-    sidecar_host &entry = fleet.add("feebox", [&held](const std::shared_ptr<test::http_exchange> &exchange) {
-        held.push_back(exchange);
-    });
-    fleet.configure(makeRoutes(3, {"feebox"}, false, 2));
-    fleet.beat(entry, "i-1", 1);
-    REQUIRE(fleet.ready());
+    holding_host host(1);
+    auto &[fleet, held, entry] = host;
     const auto running = fleet.send(entry, "/feebox/", clock_ms{3'000});
-    REQUIRE(fleet.eventually([&held] {
-        return held.size() == 1;
-    }));
+    REQUIRE(host.holds(1));
     CHECK(fleet.call(entry, "/feebox/", clock_ms{80}).message.status == 503);
     CHECK(fleet.call(entry, "/feebox/", clock_ms{2'000}).message.status == 503);
     CHECK(held.size() == 1);
@@ -160,18 +138,14 @@
 
 TEST_CASE("a host that starts while the store is away is told the configuration and the other hosts by those that connect to it")
 {
-    sidecar_fleet fleet;
-    sidecar_host &entry = fleet.add("mapview");
-    sidecar_host &target = fleet.add("feebox");
-    fleet.configure(makeRoutes(3, {"feebox"}, true, 2));
-    fleet.beat(target, "i-1", 4);
-    REQUIRE(fleet.ready());
+    two_hosts hosts(true);
+    auto &[fleet, entry, target] = hosts;
     REQUIRE(fleet.call(entry, "/feebox/").message.status == 200);
     fleet.platform.isDown = true;
     fleet.restart(entry);
     REQUIRE(fleet.ready());
-    CHECK(fleet.eventually([&fleet, &entry] {
-        return fleet.call(entry, "/feebox/").message.status == 200;
+    CHECK(fleet.eventually([&hosts] {
+        return hosts.fleet.call(hosts.entry, "/feebox/").message.status == 200;
     }));
 }
 
