--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -286,8 +286,8 @@
             continue;
         }
         known.forgetAt = forgetTime();
-        m_store.remove(directoryKind, host, object->second.version, [host](const store_result<std::uint64_t> &result) {
-            logEvent(log_level::info, "host_forgotten", {{"peer", host}, {"result", toString(result.failure)}});
+        m_store.remove(directoryKind, host, object->second.version, [peer = std::string(host)](const store_result<std::uint64_t> &result) {
+            logEvent(log_level::info, "host_forgotten", {{"peer", peer}, {"result", toString(result.failure)}});
         });
     }
 }
