--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -20,7 +20,7 @@
 constexpr clock_ms startTime{3'000}; ///< Of this host, as long as hosts that start with it write their entries.
 constexpr clock_ms introduceAfter{600}; ///< A host that starts mostly has the store's configuration by then.
 constexpr clock_ms introducePause{1'000}; ///< Between two introductions to one host.
-constexpr double introducers = 4; ///< Hosts that introduce the others to one that starts, on the mean: one answer may be lost.
+constexpr std::uint64_t introducers = 4; ///< Hosts that introduce the others to one that starts, on the mean: one answer may be lost.
 constexpr clock_ms forgetAfter{60'000}; ///< An entry whose host nobody reaches is removed; a live host writes it again.
 constexpr double leastReached = 0.5; ///< Of all hosts, for a host to judge that others are gone rather than itself.
 constexpr clock_ms writeRetry{700}; ///< After a write that failed or was lost.
@@ -197,8 +197,7 @@
         known.lacksAllSince = now;
     }
     const bool isDue = now - *known.lacksAllSince >= introduceAfter && now - known.introducedAt >= introducePause;
-    const auto hosts = static_cast<double>(hostCount());
-    if (isDue && static_cast<double>(threadRandom() % hostCount()) < std::min(introducers, hosts)) {
+    if (isDue && threadRandom() % hostCount() < introducers) {
         known.introducedAt = now;
         introduceTo(known);
     }
