--- a/src/daemon/backend_link.cpp
+++ b/src/daemon/backend_link.cpp
@@ -5,6 +5,7 @@
 #include "core/log_func.h"
 #include "http/http_endpoint_func.h"
 #include "http/http_server_base.h"
+#include "http/http_status_type.h"
 
 #include <boost/json.hpp>
 
@@ -174,8 +175,7 @@
     request.target = "/cicadamux/cancel";
     request.headers.push_back({"cicadamux-call", toHex(call.value)});
     server.client->send(std::move(request), [acknowledged = std::move(acknowledged)](const http_result &result) {
-        constexpr unsigned ok = 200;
-        acknowledged(result.failure == http_failure::none && result.response.status == ok);
+        acknowledged(result.failure == http_failure::none && result.response.status == http_status::ok);
     });
 }
 
--- a/src/daemon/daemon_operator.cpp
+++ b/src/daemon/daemon_operator.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/call_headers_func.h"
 #include "daemon/daemon_base.h"
+#include "http/http_status_type.h"
 #include "operator/query_func.h"
 
 namespace cicadamux
@@ -9,7 +10,6 @@
 
 namespace
 {
-constexpr unsigned ok = 200;
 
 /** Calls an action later, and keeps its timer until then. */
 void scheduleOn(boost::asio::io_context &context, clock_ms after, std::function<void()> action)
@@ -27,7 +27,7 @@
 void daemon_process::handleQuery(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
     runQueryBody(request.body, m_operatorHooks, [exchange](std::string json) {
-        exchange->respond(makeJsonResponse(ok, std::move(json)));
+        exchange->respond(makeJsonResponse(http_status::ok, std::move(json)));
     });
 }
 
--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -4,6 +4,7 @@
 #include "daemon/call_headers_func.h"
 #include "daemon/daemon_base.h"
 #include "daemon/settings_parts_func.h"
+#include "http/http_status_type.h"
 #include "operator/query_func.h"
 #include "store/store_http_func.h"
 
@@ -191,9 +192,6 @@
 
 void daemon_process::handleAdmin(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
-    constexpr unsigned ok = 200;
-    constexpr unsigned unavailable = 503;
-    constexpr unsigned notFound = 404;
     if (request.target == "/metrics") {
         updateGauges(steadyNow());
         http_response response;
@@ -202,11 +200,11 @@
         exchange->respond(std::move(response));
     } else if (request.target == "/ready") {
         const bool ready = isReady();
-        exchange->respond(makeJsonResponse(ready ? ok : unavailable, ready ? R"({"ready":true})" : R"({"ready":false})"));
+        exchange->respond(makeJsonResponse(ready ? http_status::ok : http_status::unavailable, ready ? R"({"ready":true})" : R"({"ready":false})"));
     } else if (request.target == "/query" && request.method == "POST") {
         handleQuery(request, exchange);
     } else {
-        exchange->respond(makeJsonResponse(notFound, R"({"error":"no_such_page"})"));
+        exchange->respond(makeJsonResponse(http_status::notFound, R"({"error":"no_such_page"})"));
     }
 }
 
--- a/src/daemon/entry_control.cpp
+++ b/src/daemon/entry_control.cpp
@@ -3,6 +3,7 @@
 #include "core/log_func.h"
 #include "daemon/call_entry_base.h"
 #include "daemon/call_headers_func.h"
+#include "http/http_status_type.h"
 #include "ticket/ticket_func.h"
 
 #include <boost/json.hpp>
@@ -12,10 +13,6 @@
 
 namespace
 {
-constexpr unsigned ok = 200;
-constexpr unsigned badRequest = 400;
-constexpr unsigned notFound = 404;
-constexpr unsigned unavailable = 503;
 constexpr std::int64_t voidTimeout = 1'000; // Milliseconds.
 
 http_response makeError(unsigned status, std::string_view reason, std::string_view text)
@@ -29,7 +26,7 @@
 
 http_response makeVoidResponse(bool voided)
 {
-    return makeJsonResponse(ok, voided ? R"({"voided":true})" : R"({"voided":false})");
+    return makeJsonResponse(http_status::ok, voided ? R"({"voided":true})" : R"({"voided":false})");
 }
 } // namespace
 
@@ -60,13 +57,13 @@
     try {
         m_backend.announce(request.body, steadyNow());
     } catch (const announcement_error &failure) {
-        exchange.respond(makeError(badRequest, "bad_request", failure.what()));
+        exchange.respond(makeError(http_status::badRequest, "bad_request", failure.what()));
         return;
     }
     boost::json::object body;
     body["accepted"] = true;
     body["in_flight"] = m_core.held.size();
-    exchange.respond(makeJsonResponse(ok, boost::json::serialize(body)));
+    exchange.respond(makeJsonResponse(http_status::ok, boost::json::serialize(body)));
 }
 
 void call_entry::handleTicket(const http_request &request, http_exchange &exchange)
@@ -75,18 +72,18 @@
     try {
         headers = readCallHeaders(request.headers);
     } catch (const call_header_error &failure) {
-        exchange.respond(makeError(badRequest, "bad_request", failure.what()));
+        exchange.respond(makeError(http_status::badRequest, "bad_request", failure.what()));
         return;
     }
     const auto policies = m_core.policies.load();
     const auto found = policies->find(headers.service, headers.operation);
     if (!found || !found->rule->atMostOnce) {
-        exchange.respond(makeError(notFound, "no_policy", "no at-most-once operation of this name"));
+        exchange.respond(makeError(http_status::notFound, "no_policy", "no at-most-once operation of this name"));
         return;
     }
     const auto home = m_core.routes.choose(headers.service, {}, steadyNow());
     if (!home) {
-        exchange.respond(makeError(unavailable, "no_upstream", "no upstream of the service is known"));
+        exchange.respond(makeError(http_status::unavailable, "no_upstream", "no upstream of the service is known"));
         return;
     }
     ticket issued;
@@ -99,7 +96,7 @@
     boost::json::object body;
     body["ticket"] = encodeTicket(issued, m_core.settings.fleetKey);
     body["expires_ms"] = ticketLifetime;
-    exchange.respond(makeJsonResponse(ok, boost::json::serialize(body)));
+    exchange.respond(makeJsonResponse(http_status::ok, boost::json::serialize(body)));
 }
 
 void call_entry::handleVoid(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
@@ -108,7 +105,7 @@
     try {
         decodeTicket(text, m_core.settings.fleetKey);
     } catch (const ticket_error &failure) {
-        exchange->respond(makeError(badRequest, toString(failure.reason()), failure.what()));
+        exchange->respond(makeError(http_status::badRequest, toString(failure.reason()), failure.what()));
         return;
     }
     settleTicket(text, [exchange](bool voided) {
--- a/src/daemon/gated_call.cpp
+++ b/src/daemon/gated_call.cpp
@@ -3,6 +3,7 @@
 #include "daemon/gated_call_base.h"
 
 #include "core/invariant_func.h"
+#include "http/http_status_type.h"
 
 #include <boost/asio/post.hpp>
 
@@ -227,8 +228,7 @@
     whole.status = result.response.status;
     whole.headers = forwardableHeaders(result.response.headers);
     whole.body = std::move(result.response.body);
-    constexpr unsigned firstServerError = 500;
-    end = whole.status >= firstServerError ? work_end::failed : work_end::answered;
+    end = whole.status >= http_status::firstServerError ? work_end::failed : work_end::answered;
     return whole;
 }
 
--- /dev/null
+++ b/src/http/http_status_type.h
@@ -0,0 +1,26 @@
+/** @file http_status_type.h The HTTP statuses that this program sends or reads. */
+
+#pragma once
+
+namespace cicadamux::http_status
+{
+
+constexpr unsigned ok = 200;
+constexpr unsigned created = 201;
+constexpr unsigned noContent = 204;
+constexpr unsigned firstRedirect = 300; ///< Those from `ok` up to here are successes.
+constexpr unsigned badRequest = 400;
+constexpr unsigned notFound = 404;
+constexpr unsigned requestTimeout = 408;
+constexpr unsigned conflict = 409;
+constexpr unsigned gone = 410;
+constexpr unsigned contentTooLarge = 413;
+constexpr unsigned misdirected = 421;
+constexpr unsigned tooManyRequests = 429;
+constexpr unsigned headerTooLarge = 431;
+constexpr unsigned firstServerError = 500;
+constexpr unsigned badGateway = 502;
+constexpr unsigned unavailable = 503;
+constexpr unsigned gatewayTimeout = 504;
+
+} // namespace cicadamux::http_status
--- a/src/link/link_stream.cpp
+++ b/src/link/link_stream.cpp
@@ -112,14 +112,13 @@
         m_lastHeard = steadyNow();
     }
     if (m_partial.empty()) {
-        const std::size_t taken = takeMessages(bytes);
-        m_partial.assign(bytes.begin() + static_cast<std::ptrdiff_t>(taken), bytes.end());
+        m_partial = bytes.substr(takeMessages(bytes));
         return;
     }
-    m_partial.insert(m_partial.end(), bytes.begin(), bytes.end());
-    const std::size_t taken = takeMessages({m_partial.data(), m_partial.size()});
+    m_partial += bytes;
+    const std::size_t taken = takeMessages(m_partial);
     if (taken > 0) {
-        m_partial = std::vector<char>(m_partial.begin() + static_cast<std::ptrdiff_t>(taken), m_partial.end());
+        std::string(m_partial, taken).swap(m_partial); // An assignment would keep the memory of the greatest message.
     }
 }
 
--- a/src/link/link_stream_base.h
+++ b/src/link/link_stream_base.h
@@ -59,7 +59,7 @@
     boost::asio::ip::tcp::socket m_socket;
     std::size_t m_maxMessage;
     link_stream_hooks m_hooks;
-    std::vector<char> m_partial; ///< Beginning of a message whose rest hasn't come.
+    std::string m_partial; ///< Beginning of a message whose rest hasn't come.
     std::deque<std::string> m_queue; ///< Frames that aren't being written.
     std::vector<std::string> m_writing;
     std::size_t m_backlog = 0;
--- a/src/sidecar/entered_request_type.h
+++ b/src/sidecar/entered_request_type.h
@@ -32,6 +32,12 @@
     {
         return !host.empty();
     }
+
+    /** Forgets the attempt; its number stays. */
+    void end()
+    {
+        *this = running_attempt{number, {}, nullptr, call_id::invalid(), nullptr};
+    }
 };
 
 struct entered_request {
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "link/host_link_base.h"
+#include "sidecar/seen_host_type.h"
 #include "sidecar/sidecar_core_type.h"
-#include "sidecar/sidecar_query_func.h"
 #include "store/object_mirror_base.h"
 
 #include <functional>
--- a/src/sidecar/own_answer.cpp
+++ b/src/sidecar/own_answer.cpp
@@ -2,6 +2,8 @@
 
 #include "sidecar/own_answer_func.h"
 
+#include "http/http_status_type.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -14,15 +16,6 @@
 constexpr clock_ms leastRetryAfter{50}; ///< For Retry-After.
 constexpr clock_ms unreadRetry{500}; ///< Retry-After while a bound of the process is reached.
 
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusTimeout = 408;
-constexpr unsigned statusBodyTooLarge = 413;
-constexpr unsigned statusHeaderTooLarge = 431;
-constexpr unsigned statusBadGateway = 502;
-constexpr unsigned statusUnavailable = 503;
-constexpr unsigned statusGatewayTimeout = 504;
-
 http_response makeFailure(unsigned status, std::string_view text)
 {
     http_response response;
@@ -43,7 +36,7 @@
 /** For requests that weren't even read. */
 http_response makeRefusal(std::string_view text)
 {
-    http_response response = makeFailure(statusUnavailable, text);
+    http_response response = makeFailure(http_status::unavailable, text);
     response.headers.push_back({"Retry-After", formatSeconds(unreadRetry)});
     return response;
 }
@@ -52,16 +45,16 @@
 {
     switch (reason) {
     case outcome_reason::bad_request:
-        return statusBadRequest;
+        return http_status::badRequest;
     case outcome_reason::no_route:
-        return statusNotFound;
+        return http_status::notFound;
     default:
         break;
     }
     if (!isUnknown) {
-        return statusUnavailable;
+        return http_status::unavailable;
     }
-    return reason == outcome_reason::answer_timeout ? statusGatewayTimeout : statusBadGateway;
+    return reason == outcome_reason::answer_timeout ? http_status::gatewayTimeout : http_status::badGateway;
 }
 } // namespace
 
@@ -69,11 +62,11 @@
 {
     switch (failure) {
     case http_read_failure::header_too_large:
-        return makeFailure(statusHeaderTooLarge, "header too large");
+        return makeFailure(http_status::headerTooLarge, "header too large");
     case http_read_failure::body_too_large:
-        return makeFailure(statusBodyTooLarge, "body too large");
+        return makeFailure(http_status::contentTooLarge, "body too large");
     case http_read_failure::too_slow:
-        return makeFailure(statusTimeout, "request too slow");
+        return makeFailure(http_status::requestTimeout, "request too slow");
     case http_read_failure::too_many_connections:
         return makeRefusal("too many connections");
     case http_read_failure::too_much_held:
@@ -82,7 +75,7 @@
     case http_read_failure::truncated:
         break;
     }
-    return makeFailure(statusBadRequest, "malformed request");
+    return makeFailure(http_status::badRequest, "malformed request");
 }
 
 http_response ownAnswer(const entered_request &entered, outcome_reason reason, std::string_view idHeader)
@@ -92,7 +85,7 @@
     if (!entered.requestId.empty()) {
         response.headers.push_back({std::string(idHeader), entered.requestId});
     }
-    if (status == statusUnavailable) {
+    if (status == http_status::unavailable) {
         response.headers.push_back({"Retry-After", formatSeconds(std::max(leastRetryAfter, entered.retryAfter))});
     }
     return response;
--- a/src/sidecar/request_attempts.cpp
+++ b/src/sidecar/request_attempts.cpp
@@ -79,7 +79,7 @@
     const call_id id = link ? link->call(makeCall(*entered), std::move(handler)) : call_id::invalid();
     if (!id.isValid()) {
         m_core.upstreams.ended(entered->service, host, {false, true, 0, 0, 0}, steadyNow());
-        entered->running.host.clear();
+        entered->running.end();
         return false;
     }
     entered->running.link = link;
@@ -113,7 +113,7 @@
         return;
     }
     noteEnd(*entered, reply);
-    entered->running = {number, {}, nullptr, call_id::invalid(), nullptr};
+    entered->running.end();
     m_ended(entered, std::move(reply));
 }
 
@@ -133,7 +133,9 @@
     if (!entered.running.isRunning()) {
         return;
     }
-    const running_attempt given = std::exchange(entered.running, {entered.running.number + 1, {}, nullptr, call_id::invalid(), nullptr});
+    const running_attempt given = entered.running;
+    entered.running.end();
+    ++entered.running.number;
     m_core.upstreams.ended(entered.service, given.host, upstream_report{}, steadyNow());
     if (given.link) {
         given.link->cancel(given.linkCall);
--- a/src/sidecar/request_entry.cpp
+++ b/src/sidecar/request_entry.cpp
@@ -3,6 +3,7 @@
 #include "sidecar/request_entry_base.h"
 
 #include "http/http_fields_func.h"
+#include "http/http_status_type.h"
 #include "sidecar/own_answer_func.h"
 
 #include <algorithm>
@@ -14,7 +15,6 @@
 {
 constexpr std::uint32_t maxRefusals = 3; ///< Gates that may refuse one request; each costs a round trip.
 constexpr clock_ms leastRepeatTime{30}; ///< With less time left a repeat has no use.
-constexpr unsigned firstServerError = 500; ///< Status.
 
 bool mayRepeat(const entered_request &entered)
 {
@@ -80,7 +80,7 @@
 
 void request_entry::ended(const request_pointer &entered, link_reply reply)
 {
-    const bool isFailure = reply.outcome == call_outcome::answered && reply.status >= firstServerError;
+    const bool isFailure = reply.outcome == call_outcome::answered && reply.status >= http_status::firstServerError;
     if (reply.reachedServer) {
         m_intake.runEnded(*entered, isFailure && reply.lostCall == call_loss::no_room);
     }
@@ -212,7 +212,7 @@
     if (entered->isOver) {
         return;
     }
-    if (reason != outcome_reason::none || response.status >= firstServerError) {
+    if (reason != outcome_reason::none || response.status >= http_status::firstServerError) {
         noteLostCall(*entered, reason);
     }
     entered->isOver = true;
@@ -268,7 +268,7 @@
 
 void request_entry::logEnd(const entered_request &entered, unsigned status, outcome_reason reason)
 {
-    const bool isFailure = reason != outcome_reason::none || status >= firstServerError;
+    const bool isFailure = reason != outcome_reason::none || status >= http_status::firstServerError;
     std::string tried;
     for (const std::string &host : entered.triedHosts) {
         tried += (tried.empty() ? "" : ",") + host;
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -4,6 +4,7 @@
 
 #include "core/invariant_func.h"
 #include "http/http_fields_func.h"
+#include "http/http_status_type.h"
 
 namespace cicadamux
 {
@@ -14,22 +15,16 @@
 constexpr clock_ms connectTimeout{400}; ///< The backend server is on this host; one that hangs is gone.
 constexpr clock_ms refusedRetry{300}; ///< Retry-After where nothing better is known.
 
-constexpr unsigned statusTooManyRequests = 429;
-constexpr unsigned statusUnavailable = 503;
-constexpr unsigned statusMisdirected = 421;
-constexpr unsigned statusRequestTimeout = 408;
-
 bool isSuccess(unsigned status)
 {
-    constexpr unsigned firstSuccess = 200;
-    constexpr unsigned firstRedirect = 300;
-    return status >= firstSuccess && status < firstRedirect;
+    return status >= http_status::ok && status < http_status::firstRedirect;
 }
 
 /** Callers take these statuses as a promise that nothing ran. */
 bool isPromise(unsigned status)
 {
-    return status == statusTooManyRequests || status == statusUnavailable || status == statusMisdirected || status == statusRequestTimeout;
+    return status == http_status::tooManyRequests || status == http_status::unavailable || status == http_status::misdirected
+        || status == http_status::requestTimeout;
 }
 
 http_limits serverLimits(const daemon_settings &settings)
@@ -318,9 +313,9 @@
     }
     reply.reachedServer = true;
     const http_response &response = result.response;
-    if (findHeader(response.headers, m_core.adapter.headers.notExecuted) || response.status == statusMisdirected) {
+    if (findHeader(response.headers, m_core.adapter.headers.notExecuted) || response.status == http_status::misdirected) {
         reply.outcome = call_outcome::not_run;
-        reply.reason = response.status == statusMisdirected ? outcome_reason::no_upstream : outcome_reason::shed;
+        reply.reason = response.status == http_status::misdirected ? outcome_reason::no_upstream : outcome_reason::shed;
         reply.retryAfter = refusedRetry;
         return reply;
     }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -6,6 +6,7 @@
 #include "daemon/call_headers_func.h"
 #include "daemon/settings_parts_func.h"
 #include "http/http_fields_func.h"
+#include "http/http_status_type.h"
 #include "operator/query_func.h"
 #include "sidecar/own_answer_func.h"
 
@@ -31,11 +32,6 @@
 constexpr clock_ms readerTimeout{60'000}; ///< For a slow reader.
 constexpr std::uint32_t pipelineDepth = 16; ///< Requests of one connection that run at a time.
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusUnavailable = 503;
-
 /** Reads the clock that doesn't stand still while the host is suspended. */
 clock_ms bootNow()
 {
@@ -207,7 +203,7 @@
 {
     http_response response;
     const bool isQuestion = request.target == m_core.adapter.readyPath;
-    response.status = !isQuestion ? statusNotFound : (isReady() ? statusOk : statusUnavailable);
+    response.status = !isQuestion ? http_status::notFound : (isReady() ? http_status::ok : http_status::unavailable);
     exchange->respond(std::move(response));
 }
 
@@ -218,11 +214,11 @@
         message = m_core.adapter.readServerMessage(request);
     } catch (const decode_error &unreadable) {
         logEvent(log_level::warning, "heartbeat_unreadable", {{"target", request.target}, {"problem", unreadable.what()}});
-        exchange->respond(makeJsonResponse(statusBadRequest, R"({"error":"unreadable"})"));
+        exchange->respond(makeJsonResponse(http_status::badRequest, R"({"error":"unreadable"})"));
         return;
     }
     if (!message) {
-        exchange->respond(makeJsonResponse(statusNotFound, R"({"error":"no_such_call"})"));
+        exchange->respond(makeJsonResponse(http_status::notFound, R"({"error":"no_such_call"})"));
         return;
     }
     if (message->isDeparture) {
@@ -232,12 +228,12 @@
         logEvent(log_level::warning,
                  "heartbeat_foreign",
                  {{"server", message->announcement.id}, {"service", message->announcement.service}, {"address", message->announcement.address}});
-        exchange->respond(makeJsonResponse(statusBadRequest, R"({"error":"foreign_server"})"));
+        exchange->respond(makeJsonResponse(http_status::badRequest, R"({"error":"foreign_server"})"));
         return;
     } else if (m_gate.server().state != m_gateState) {
         upstreamsChanged();
     }
-    exchange->respond(makeJsonResponse(statusOk, "{}"));
+    exchange->respond(makeJsonResponse(http_status::ok, "{}"));
 }
 
 void sidecar::handleMetrics(const std::shared_ptr<http_exchange> &exchange)
@@ -260,7 +256,7 @@
 {
     const std::optional<std::string> line = readQueryBody(request.body);
     const query_result result = line ? answerSidecarQuery(*line, view()) : malformedQueryBody();
-    exchange->respond(makeJsonResponse(statusOk, formatResultJson(result)));
+    exchange->respond(makeJsonResponse(http_status::ok, formatResultJson(result)));
 }
 
 sidecar_view sidecar::view() const
--- a/src/sidecar/sidecar_query_func.h
+++ b/src/sidecar/sidecar_query_func.h
@@ -5,6 +5,7 @@
 #include "link/link_type.h"
 #include "operator/query_result_type.h"
 #include "sidecar/request_memory_base.h"
+#include "sidecar/seen_host_type.h"
 
 #include <cstdint>
 #include <string>
@@ -14,15 +15,6 @@
 namespace cicadamux
 {
 
-/** Another host as this one sees it. */
-struct seen_host {
-    std::string host;
-    std::string dataCenter;
-    std::string service;
-    std::string link; ///< `up`, `suspect` or `down`.
-    host_report report; ///< Its last one since the link came up.
-};
-
 /** What the queries read; filled in for each one. */
 struct sidecar_view {
     std::string host;
--- a/src/store/store_answer.cpp
+++ b/src/store/store_answer.cpp
@@ -2,6 +2,8 @@
 
 #include "store/store_answer_func.h"
 
+#include "http/http_status_type.h"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/system/system_error.hpp>
@@ -11,10 +13,6 @@
 
 namespace
 {
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusConflict = 409;
-constexpr unsigned statusGone = 410;
 
 template<typename Value>
 store_result<Value> makeFailure(store_failure failure)
@@ -90,10 +88,10 @@
 
 store_result<stored_object> readObjectAnswer(unsigned status, std::string_view body, std::string_view kind, std::string_view name)
 {
-    if (status == statusNotFound) {
+    if (status == http_status::notFound) {
         return makeFailure<stored_object>(store_failure::not_found);
     }
-    if (status != statusOk) {
+    if (status != http_status::ok) {
         return makeFailure<stored_object>(store_failure::bad_answer);
     }
     return readGuarded<stored_object>([&] {
@@ -108,13 +106,13 @@
 
 store_result<std::uint64_t> readWriteAnswer(unsigned status, std::string_view body, std::uint64_t ifVersion)
 {
-    if (status != statusOk && status != statusConflict) {
+    if (status != http_status::ok && status != http_status::conflict) {
         return makeFailure<std::uint64_t>(store_failure::bad_answer);
     }
     return readGuarded<std::uint64_t>([&] {
         store_result<std::uint64_t> result;
         const std::uint64_t version = unsignedAt(boost::json::parse(body), "version");
-        if (status == statusConflict) {
+        if (status == http_status::conflict) {
             result.failure = store_failure::conflict;
             result.currentVersion = version;
         } else if (version <= ifVersion) {
@@ -128,7 +126,7 @@
 
 store_result<store_changes> readListAnswer(unsigned status, std::string_view body, std::string_view kind)
 {
-    if (status != statusOk) {
+    if (status != http_status::ok) {
         return makeFailure<store_changes>(store_failure::bad_answer);
     }
     return readChangesAnswer(body, kind);
@@ -136,7 +134,7 @@
 
 store_result<store_changes> readWatchAnswer(unsigned status, std::string_view body, std::string_view kind, std::uint64_t cursor)
 {
-    if (status == statusGone) {
+    if (status == http_status::gone) {
         return makeFailure<store_changes>(store_failure::cursor_too_old);
     }
     store_result<store_changes> result = readListAnswer(status, body, kind);
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,7 +10,7 @@
 clang-format --dry-run --Werror "${files[@]}"
 echo "format: ${#files[@]} files clean"
 
-headers=$(cat .clang-tidy $(git ls-files --cached --others --exclude-standard 'src/*.h' 'platform/*.h' 'tests/*.h') | sha256sum | cut -c1-16)
+headers=$(cat .clang-tidy $(git ls-files --cached --others --exclude-standard 'src/*.h' 'platform/*.h' 'tests/*.h' | sort) | sha256sum | cut -c1-16)
 export build headers
 lint_one() {
     local stamp
