Fix: A planned stop answers what has arrived, an exception ends its handler alone, and a caller that has gone is not served

Cause, by reading: closing the listener reset the connections that the system had accepted for it, and idle connections were closed with a request unread in them; an exception that left a handler ended the process; a request whose caller had closed the connection before it was read was still handed over, so that an order without a caller could run. Change: drain() accepts what waits; closeIfIdle() looks for unread bytes and gives a connection without a request half a second; runEventLoop() goes on after an exception, and a session answers 502 for its handler; handleRequest() looks for the end of the connection first. 'the owner of a request hears that its caller has gone' closed its connection before the request was read, which is now told as never handed over; it waits for the handler first and checks the same promise.

--- a/src/daemon/call_entry.cpp
+++ b/src/daemon/call_entry.cpp
@@ -35,6 +35,8 @@
     case http_read_failure::too_many_connections:
     case http_read_failure::memory_exhausted:
         return outcome_reason::daemon_busy;
+    case http_read_failure::handler_failed:
+        return outcome_reason::answer_broken;
     case http_read_failure::malformed:
     case http_read_failure::too_slow:
     case http_read_failure::truncated:
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/daemon_func.h"
 
+#include "core/event_loop_func.h"
 #include "core/invariant_func.h"
 #include "core/log_func.h"
 #include "daemon/daemon_base.h"
@@ -31,7 +32,7 @@
     threads.reserve(count);
     for (std::uint32_t index = 0; index < count; ++index) {
         threads.emplace_back([&context] {
-            context.run();
+            runEventLoop(context, logHandlerFailure);
         });
     }
     return threads;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -35,6 +35,7 @@
     void bind(std::string_view address);
     void accept();
     void handleAccepted(boost::system::error_code failure, tcp::socket socket);
+    void acceptPending();
     void startSession(tcp::socket &&socket);
     void trackSession(const std::shared_ptr<detail::http_session> &session);
 
@@ -84,6 +85,23 @@
     accept();
 }
 
+/** Accepts the connections that the system holds for the listener; closing it would reset them, with the requests sent on them. */
+void http_server::state::acceptPending()
+{
+    if (!acceptor.is_open()) {
+        return;
+    }
+    boost::system::error_code failure;
+    acceptor.non_blocking(true, failure);
+    while (!failure) {
+        tcp::socket socket(boost::asio::make_strand(context));
+        acceptor.accept(socket, failure);
+        if (!failure) {
+            startSession(std::move(socket));
+        }
+    }
+}
+
 void http_server::state::startSession(tcp::socket &&socket)
 {
     const bool isFull = shared->open.load() >= shared->limits.maxConnections;
@@ -150,6 +168,7 @@
 {
     m_state->shared->draining = true;
     boost::asio::post(m_state->acceptor.get_executor(), [server = m_state] {
+        server->acceptPending();
         boost::system::error_code ignored;
         server->acceptor.close(ignored);
         server->retryTimer.cancel();
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -2,6 +2,7 @@
 
 #include "http/http_session_base.h"
 
+#include "core/event_loop_func.h"
 #include "http/http_fields_func.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -18,6 +19,7 @@
 
 namespace
 {
+constexpr clock_ms firstRequestTime{500}; ///< For the first request of a connection that was accepted just before the listener closed.
 constexpr clock_ms lingerTime{1'000}; ///< How long a client may take to close the connection after the last response.
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -112,8 +114,14 @@
 void http_session::closeIfIdle()
 {
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (self->m_exchanges.empty() && self->m_readState == read_state::first_bytes && self->m_buffer.size() == 0) {
+        const bool isIdle = self->m_exchanges.empty() && self->m_readState == read_state::first_bytes && self->m_buffer.size() == 0;
+        if (!isIdle || self->pendingInput() == pending_input::bytes) {
+            return; // The request is answered first; its response closes the connection.
+        }
+        if (self->m_hasRequest) {
             self->close();
+        } else {
+            self->armTimer(firstRequestTime);
         }
     });
 }
@@ -129,7 +137,7 @@
         return;
     }
     if (m_exchanges.empty()) {
-        armTimer(m_shared->limits.idleTimeout);
+        armTimer(m_shared->draining ? firstRequestTime : m_shared->limits.idleTimeout);
     }
     http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) {
         if (self->hasStoppedReading()) {
@@ -234,6 +242,11 @@
 void http_session::handleRequest()
 {
     m_expiry.reset();
+    m_hasRequest = true;
+    if (m_buffer.size() == 0 && pendingInput() == pending_input::end) {
+        handleDisconnect(); // The caller has given up before its request was read.
+        return;
+    }
     auto message = m_parser->release();
     http_request request;
     request.method = std::string(message.method_string());
@@ -247,7 +260,12 @@
     exchange->m_answer = byte_reservation(m_shared->budget);
     m_exchanges.push_back(exchange);
     m_readState = read_state::paused;
-    m_shared->handler(std::move(request), exchange);
+    try {
+        m_shared->handler(std::move(request), exchange);
+    } catch (const std::exception &failure) {
+        logHandlerFailure(failure.what());
+        exchange->respond(m_shared->refusalBuilder(http_read_failure::handler_failed));
+    }
     continueReading();
 }
 
@@ -280,15 +298,25 @@
     });
 }
 
-void http_session::handleReadable()
+/** Looks at the socket's receive buffer without reading from it. */
+http_session::pending_input http_session::pendingInput()
 {
     char byte = 0;
     beast::error_code failure;
     m_socket.non_blocking(true, failure);
     const std::size_t received = m_socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
     if (failure == boost::asio::error::would_block) {
+        return pending_input::none;
+    }
+    return received == 0 ? pending_input::end : pending_input::bytes;
+}
+
+void http_session::handleReadable()
+{
+    const pending_input pending = pendingInput();
+    if (pending == pending_input::none) {
         watchForDisconnect();
-    } else if (received == 0) {
+    } else if (pending == pending_input::end) {
         handleDisconnect();
     } // Else a pipelined request has arrived; it is read once an earlier one is answered.
 }
--- a/src/http/http_session_base.h
+++ b/src/http/http_session_base.h
@@ -65,6 +65,13 @@
         ended ///< No further request is read.
     };
 
+    /** What waits in the socket's receive buffer. */
+    enum class pending_input : std::uint8_t {
+        none,
+        bytes,
+        end ///< The client has closed the connection, or it failed.
+    };
+
     void readFirstBytes();
     void readHeader();
     void handleHeader();
@@ -75,6 +82,7 @@
     void handleRequest();
     void continueReading();
     void watchForDisconnect();
+    pending_input pendingInput();
     void handleReadable();
     void handleDisconnect();
     void writeNextResponse();
@@ -99,6 +107,7 @@
     std::array<char, 512> m_discarded{};
     std::string m_remoteAddress;
     read_state m_readState = read_state::first_bytes;
+    bool m_hasRequest = false; ///< A whole request was read.
     bool m_isWatching = false; ///< A wait of watchForDisconnect() is pending.
     bool m_isWriting = false;
     bool m_closesAfterWrite = false;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -71,7 +71,8 @@
     too_slow, ///< The rest of the request did not arrive in time.
     truncated, ///< The connection ended before the request was complete.
     too_many_connections,
-    memory_exhausted ///< The memory budget is exhausted; the body was not read.
+    memory_exhausted, ///< The memory budget is exhausted; the body was not read.
+    handler_failed ///< The handler threw an exception; the request may have been executed.
 };
 
 using http_handler = std::function<void(http_request request, std::shared_ptr<http_exchange> exchange)>;
--- a/src/sidecar/local_response.cpp
+++ b/src/sidecar/local_response.cpp
@@ -71,6 +71,8 @@
         return makeRefusal("too many connections");
     case http_read_failure::memory_exhausted:
         return makeRefusal("too many bytes held");
+    case http_read_failure::handler_failed:
+        return makeFailure(http_status::badGateway, "internal error");
     case http_read_failure::malformed:
     case http_read_failure::truncated:
         break;
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -32,9 +32,13 @@
     case http_read_failure::truncated:
         return "truncated";
     case http_read_failure::too_many_connections:
+        return "too_many_connections";
+    case http_read_failure::memory_exhausted:
+        return "memory_exhausted";
+    case http_read_failure::handler_failed:
         break;
     }
-    return "too_many_connections";
+    return "handler_failed";
 }
 
 http_response typedResponse(http_read_failure failure)
@@ -129,17 +133,20 @@
 TEST_CASE("the owner of a request hears that its caller has gone")
 {
     io_threads io;
+    std::promise<void> handed;
     std::promise<void> gone;
-    const auto wait = [&gone](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
+    const auto wait = [&handed, &gone](const http_request &, const std::shared_ptr<http_exchange> &exchange) {
         exchange->onDisconnect([&gone] {
             gone.set_value();
         });
+        handed.set_value();
     };
     http_server server(io.context, "127.0.0.1:0", smallLimits(), wait, typedResponse);
     server.open();
     {
         raw_socket socket(server.boundAddress());
         socket.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        REQUIRE(handed.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready); // Closed earlier, it would not be handled at all.
     }
     CHECK(gone.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
 }
