Add: Links with a key, and messages that end their link instead of the process

Cause: the link port took a peer's word for who it is; a reply with a status that HTTP doesn't have, or any exception while a link message was handled, ended the process. Change: a handshake with nonces and HMACs where the settings give a key, none without one; the codec checks statuses; link_stream closes its link at any exception. The MAC of tickets is shared.

--- a/src/link/host_link.cpp
+++ b/src/link/host_link.cpp
@@ -71,6 +71,17 @@
     };
     m_stream = std::make_shared<link_stream>(std::move(socket), m_settings.maxMessage, std::move(hooks));
     m_stream->start();
+    m_handshake.emplace(m_settings.key, link_end::connecting);
+    m_unansweredSince = steadyNow();
+    if (const auto hello = m_handshake->begin()) {
+        m_stream->send(*hello);
+    } else {
+        handshakeCompleted();
+    }
+}
+
+void host_link::handshakeCompleted()
+{
     m_backoff = m_settings.initialBackoff;
     m_unansweredSince.reset();
     m_lastProbe = {};
@@ -78,8 +89,22 @@
     tick(steadyNow());
 }
 
+bool host_link::isUsable() const
+{
+    return m_stream && m_handshake->isComplete();
+}
+
 void host_link::received(link_message message)
 {
+    if (!m_handshake->isComplete()) {
+        if (const auto reply = m_handshake->receive(message)) {
+            m_stream->send(*reply);
+        }
+        if (m_handshake->isComplete()) {
+            handshakeCompleted();
+        }
+        return;
+    }
     m_unansweredSince.reset();
     if (auto *reply = std::get_if<link_reply>(&message)) {
         m_hooks.reported(reply->report);
@@ -132,7 +157,7 @@
 
 call_id host_link::call(link_call call, link_reply_handler handler)
 {
-    if (!m_stream || m_stream->backlog() > m_settings.maxBacklog) {
+    if (!isUsable() || m_stream->backlog() > m_settings.maxBacklog) {
         return call_id::invalid();
     }
     const call_id id{++m_lastId};
@@ -161,14 +186,14 @@
 
 void host_link::requestConfiguration(std::uint64_t newerThan)
 {
-    if (m_stream) {
+    if (isUsable()) {
         m_stream->send(configuration_request{newerThan});
     }
 }
 
 void host_link::sendIntroduction(configuration_offer configuration, host_introduction hosts)
 {
-    if (m_stream) {
+    if (isUsable()) {
         m_stream->send(std::move(configuration));
         m_stream->send(std::move(hosts));
     }
@@ -184,6 +209,9 @@
         disconnected("silent");
         return;
     }
+    if (!isUsable()) {
+        return;
+    }
     const bool isSilent = m_unansweredSince && now - *m_unansweredSince > clock_ms{m_settings.suspectAfter.count / 2};
     const clock_ms period = isSilent ? clock_ms{m_settings.suspectAfter.count / 2} : m_settings.probePeriod;
     if (now - m_lastProbe >= period) {
@@ -210,7 +238,7 @@
 
 link_health host_link::health() const
 {
-    if (!m_stream) {
+    if (!isUsable()) {
         return link_health::down;
     }
     const bool isSilent = m_unansweredSince && steadyNow() - *m_unansweredSince > m_settings.suspectAfter;
--- a/src/link/host_link_base.h
+++ b/src/link/host_link_base.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "link/link_handshake_base.h"
 #include "link/link_stream_base.h"
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,7 @@
     clock_ms maxBackoff{2'000};
     std::size_t maxMessage = 70'000'000; ///< Greatest message that is accepted, bytes.
     std::size_t maxBacklog = 8'000'000; ///< Bytes waiting to be written above which calls are refused.
+    std::string key; ///< Of the fleet; empty: no handshake.
 };
 
 /** Callbacks of a link. */
@@ -91,6 +93,8 @@
 
     void connect();
     void connected(boost::asio::ip::tcp::socket socket);
+    void handshakeCompleted();
+    bool isUsable() const;
     void received(link_message message);
     void disconnected(std::string_view why);
     void scheduleReconnect();
@@ -101,6 +105,7 @@
     host_link_hooks m_hooks;
     boost::asio::steady_timer m_timer; ///< Limits a connection attempt, or delays the next one.
     std::shared_ptr<link_stream> m_stream; ///< Null while disconnected.
+    std::optional<link_handshake> m_handshake; ///< Of the current connection.
     std::map<std::uint64_t, open_call> m_calls; ///< By id.
     std::uint64_t m_lastId = 0;
     std::optional<clock_ms> m_unansweredSince; ///< When the oldest unanswered probe or call was sent; reset by any message received.
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 constexpr double permille = 1'000;
+constexpr unsigned minStatus = 200; ///< Of a final HTTP response.
+constexpr unsigned maxStatus = 599;
 
 using wire_fields = google::protobuf::RepeatedPtrField<link_wire::Field>;
 
@@ -146,6 +148,22 @@
             out.mutable_hosts()->add_entries(entry);
         }
     }
+
+    void operator()(const link_hello &hello) const
+    {
+        out.mutable_hello()->set_nonce(hello.nonce);
+    }
+
+    void operator()(const link_challenge &challenge) const
+    {
+        out.mutable_challenge()->set_nonce(challenge.nonce);
+        out.mutable_challenge()->set_proof(challenge.proof);
+    }
+
+    void operator()(const link_proof &proof) const
+    {
+        out.mutable_proof()->set_proof(proof.proof);
+    }
 };
 
 link_call decodeCall(link_wire::Call &call)
@@ -174,6 +192,10 @@
         || reply.lost_call() > static_cast<std::uint32_t>(call_loss::no_capacity)) {
         throw link_error("reply with an unknown outcome, reason or kind of lost call");
     }
+    const bool isAnswered = static_cast<call_outcome>(reply.outcome()) == call_outcome::answered;
+    if (reply.status() > maxStatus || (isAnswered && reply.status() < minStatus)) {
+        throw link_error("reply with status " + std::to_string(reply.status()));
+    }
     link_reply result;
     result.id = call_id{reply.id()};
     result.outcome = static_cast<call_outcome>(reply.outcome());
@@ -237,6 +259,12 @@
         return configuration_offer{message.configuration().version(), message.configuration().text()};
     case link_wire::Message::kHosts:
         return host_introduction{{message.hosts().entries().begin(), message.hosts().entries().end()}};
+    case link_wire::Message::kHello:
+        return link_hello{message.hello().nonce()};
+    case link_wire::Message::kChallenge:
+        return link_challenge{message.challenge().nonce(), message.challenge().proof()};
+    case link_wire::Message::kProof:
+        return link_proof{message.proof().proof()};
     case link_wire::Message::CONTENT_NOT_SET:
         break;
     }
--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -6,6 +6,7 @@
 #include "http/http_endpoint_func.h"
 #include "http/http_fields_func.h"
 #include "http/http_server_base.h"
+#include "link/link_handshake_base.h"
 
 namespace cicadamux
 {
@@ -21,8 +22,9 @@
 class accepted_link : public std::enable_shared_from_this<accepted_link>
 {
 public:
-    explicit accepted_link(const link_server_hooks &hooks)
+    accepted_link(const link_server_hooks &hooks, const std::string &key)
         : m_hooks(hooks)
+        , m_handshake(key, link_end::accepting)
     {
     }
 
@@ -53,6 +55,12 @@
 private:
     void received(link_message message)
     {
+        if (!m_handshake.isComplete()) {
+            if (const auto reply = m_handshake.receive(message)) {
+                m_stream->send(*reply);
+            }
+            return;
+        }
         if (auto *call = std::get_if<link_call>(&message)) {
             startCall(std::move(*call));
         } else if (const auto *cancel = std::get_if<link_cancel>(&message)) {
@@ -109,6 +117,7 @@
     }
 
     const link_server_hooks &m_hooks;
+    link_handshake m_handshake;
     std::function<void()> m_ended;
     std::shared_ptr<link_stream> m_stream;
     std::map<std::uint64_t, std::function<void()>> m_cancels; ///< Cancel functions of unanswered calls, by call id.
@@ -117,12 +126,13 @@
 } // namespace
 
 struct link_server::state : std::enable_shared_from_this<link_server::state> {
-    state(boost::asio::io_context &ioContext, std::size_t messageLimit, link_server_hooks serverHooks)
+    state(boost::asio::io_context &ioContext, std::size_t messageLimit, link_server_hooks serverHooks, std::string fleetKey)
         : context(ioContext)
         , acceptor(ioContext)
         , retryTimer(ioContext)
         , maxMessage(messageLimit)
         , hooks(std::move(serverHooks))
+        , key(std::move(fleetKey))
     {
     }
 
@@ -155,7 +165,7 @@
 
     void add(tcp::socket &&socket)
     {
-        const auto link = std::make_shared<accepted_link>(hooks);
+        const auto link = std::make_shared<accepted_link>(hooks, key);
         links.insert(link);
         link->start(std::move(socket), maxMessage, [self = weak_from_this(), known = std::weak_ptr(link)] {
             if (const auto server = self.lock()) {
@@ -177,11 +187,12 @@
     boost::asio::steady_timer retryTimer;
     std::size_t maxMessage;
     link_server_hooks hooks;
+    std::string key;
     std::set<std::shared_ptr<accepted_link>> links;
 };
 
-link_server::link_server(boost::asio::io_context &context, const std::string &address, std::size_t maxMessage, link_server_hooks hooks)
-    : m_state(std::make_shared<state>(context, maxMessage, std::move(hooks)))
+link_server::link_server(boost::asio::io_context &context, const std::string &address, std::size_t maxMessage, link_server_hooks hooks, std::string key)
+    : m_state(std::make_shared<state>(context, maxMessage, std::move(hooks), std::move(key)))
 {
     const tcp::endpoint endpoint = detail::parseEndpoint(address);
     boost::system::error_code failure;
--- a/src/link/link_server_base.h
+++ b/src/link/link_server_base.h
@@ -34,9 +34,10 @@
     /**
      * Binds the address and starts to accept links.
      * @param address `IP:port`.
+     * @param key Of the fleet; empty: any peer may open a link.
      * @throws address_error
      */
-    link_server(boost::asio::io_context &context, const std::string &address, std::size_t maxMessage, link_server_hooks hooks);
+    link_server(boost::asio::io_context &context, const std::string &address, std::size_t maxMessage, link_server_hooks hooks, std::string key = {});
     ~link_server();
     link_server(const link_server &) = delete;
     link_server &operator=(const link_server &) = delete;
--- a/src/link/link_stream.cpp
+++ b/src/link/link_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "link/link_stream_base.h"
 
+#include "core/log_func.h"
 #include "link/link_codec_func.h"
 
 #include <boost/asio/buffer.hpp>
@@ -96,8 +97,9 @@
     }
     try {
         consume({bytes.data(), size});
-    } catch (const link_error &invalid) {
-        fail(invalid.what());
+    } catch (const std::exception &failure) { // A message that can't be decoded or handled ends its link, not the process.
+        logEvent(log_level::error, "link_message_failed", {{"problem", failure.what()}});
+        fail(failure.what());
         return;
     }
     if (!m_closed) {
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -100,7 +100,33 @@
     std::vector<std::string> entries; ///< In the form in which the store holds them.
 };
 
-using link_message = std::variant<link_call, link_reply, link_cancel, link_probe, host_report, configuration_request, configuration_offer, host_introduction>;
+/** First message of a link whose ends have a key. */
+struct link_hello {
+    std::string nonce; ///< Of the connecting end.
+};
+
+/** Answer to a link_hello. */
+struct link_challenge {
+    std::string nonce; ///< Of the accepting end.
+    std::string proof; ///< That the accepting end has the key.
+};
+
+/** Answer to a link_challenge. */
+struct link_proof {
+    std::string proof; ///< That the connecting end has the key.
+};
+
+using link_message = std::variant<link_call,
+                                  link_reply,
+                                  link_cancel,
+                                  link_probe,
+                                  host_report,
+                                  configuration_request,
+                                  configuration_offer,
+                                  host_introduction,
+                                  link_hello,
+                                  link_challenge,
+                                  link_proof>;
 
 /** A message can't be decoded; the link is closed. */
 class link_error : public error
--- a/src/ticket/ticket.cpp
+++ b/src/ticket/ticket.cpp
@@ -2,9 +2,7 @@
 
 #include "ticket/ticket_func.h"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include "core/mac_func.h"
 
 #include <array>
 #include <cstring>
@@ -16,7 +14,6 @@
 namespace
 {
 constexpr std::uint8_t layoutVersion = 1;
-constexpr std::size_t macBytes = 32; ///< HMAC-SHA256.
 constexpr std::size_t numberBytes = 8;
 constexpr std::size_t maxNameBytes = 63; ///< Of a service or operation name.
 constexpr std::size_t maxHostBytes = 190; ///< So that the encoded ticket fits into maxTextLength.
@@ -80,17 +77,6 @@
     bytes += text;
 }
 
-std::string makeMac(std::string_view payload, std::string_view key)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> mac{};
-    unsigned length = 0;
-    const auto *data = reinterpret_cast<const unsigned char *>(payload.data());
-    if (HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), data, payload.size(), mac.data(), &length) == nullptr) {
-        throw ticket_error(outcome_reason::ticket_invalid, "the MAC can't be computed");
-    }
-    return {reinterpret_cast<const char *>(mac.data()), length};
-}
-
 [[noreturn]] void throwMalformed()
 {
     throw ticket_error(outcome_reason::ticket_invalid, "the ticket is malformed");
@@ -150,8 +136,7 @@
         throwMalformed();
     }
     std::string payload = bytes->substr(0, bytes->size() - macBytes);
-    const std::string expected = makeMac(payload, key);
-    if (CRYPTO_memcmp(expected.data(), bytes->data() + payload.size(), macBytes) != 0) {
+    if (!isSameMac(makeMac(key, payload), std::string_view(*bytes).substr(payload.size()))) {
         throw ticket_error(outcome_reason::ticket_invalid, "the ticket's MAC is wrong");
     }
     return payload;
@@ -167,7 +152,7 @@
     appendText(bytes, subject.homeHost, maxHostBytes);
     appendText(bytes, subject.service, maxNameBytes);
     appendText(bytes, subject.operation, maxNameBytes);
-    bytes += makeMac(bytes, key);
+    bytes += makeMac(key, bytes);
     return encodeBase64Url(bytes);
 }
 
