--- a/src/core/byte_budget.cpp
+++ b/src/core/byte_budget.cpp
@@ -12,6 +12,11 @@
 {
 }
 
+void byte_budget::setLimit(std::size_t limit)
+{
+    m_limit = limit;
+}
+
 bool byte_budget::tryReserve(std::size_t bytes)
 {
     const std::size_t before = m_used.fetch_add(bytes);
--- a/src/core/byte_budget_base.h
+++ b/src/core/byte_budget_base.h
@@ -15,6 +15,9 @@
 public:
     explicit byte_budget(std::size_t limit);
 
+    /** Changes the limit; what is reserved beyond it stays until it is released. */
+    void setLimit(std::size_t limit);
+
     /** Reserves bytes if they fit. @return Whether they were reserved. */
     bool tryReserve(std::size_t bytes);
 
@@ -26,7 +29,7 @@
     std::size_t used() const;
 
 private:
-    std::size_t m_limit;
+    std::atomic<std::size_t> m_limit;
     std::atomic<std::size_t> m_used{0};
 };
 
--- a/src/retry/repeat_budget.cpp
+++ b/src/retry/repeat_budget.cpp
@@ -28,6 +28,20 @@
     m_settings.slack = slack;
 }
 
+void repeat_budget::setBound(double ratio, clock_ms window)
+{
+    m_settings.ratio = ratio;
+    if (window == m_settings.window) {
+        return;
+    }
+    for (auto &[service, slices] : m_services) { // A slice's number states its time in units of the window's length.
+        for (slice &counted : slices) {
+            counted.number = counted.number * m_settings.window.count / window.count;
+        }
+    }
+    m_settings.window = window;
+}
+
 repeat_budget::slice &repeat_budget::currentSlice(std::string_view service, clock_ms now)
 {
     auto found = m_services.find(service);
--- a/src/retry/repeat_budget_base.h
+++ b/src/retry/repeat_budget_base.h
@@ -39,6 +39,9 @@
     /** Changes this host's share of the slack after the size of the fleet changed. */
     void setSlack(double slack);
 
+    /** Changes the fleet's bound; what was counted in the window stays counted. */
+    void setBound(double ratio, clock_ms window);
+
     /** Counts a request to a service, whether or not it is forwarded. */
     void countRequest(std::string_view service, const request_origin &origin, clock_ms now);
 
--- a/src/settings/settings_read.cpp
+++ b/src/settings/settings_read.cpp
@@ -323,7 +323,7 @@
     return settings_reader(profile).read(parsed.get_object());
 }
 
-daemon_settings loadSettings(const std::string &file, settings_profile profile)
+std::string readSettingsFile(const std::string &file)
 {
     std::error_code failure;
     const auto size = std::filesystem::file_size(file, failure);
@@ -333,7 +333,12 @@
     }
     std::ostringstream text;
     text << stream.rdbuf();
-    return parseSettings(text.str(), profile);
+    return text.str();
+}
+
+daemon_settings loadSettings(const std::string &file, settings_profile profile)
+{
+    return parseSettings(readSettingsFile(file), profile);
 }
 
 } // namespace cicadamux
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -36,10 +36,11 @@
 
 constexpr text_form name = text_form::name;
 constexpr text_form address = text_form::address;
+constexpr setting_reload live = setting_reload::live;
 
 // clang-format off
 const std::array rows = {
-    // path, target, required, form, unit, minimum, maximum, help, profile
+    // path, target, required, form, unit, minimum, maximum, help, profile, reload
     setting_row{ "host", &topLevel<&settings::host>, true, name, "", 0, 0, "Name of this host, unique in the fleet" },
     setting_row{ "data_center", &topLevel<&settings::dataCenter>, true, name, "", 0, 0, "Name of this host's data centre" },
     setting_row{ "edge.address", &topLevel<&settings::edgeAddress>, false, text_form::address_or_empty, "", 0, 0, "Listener for callers; empty: disabled" },
@@ -50,27 +51,27 @@
     setting_row{ "backend.address", &topLevel<&settings::backendAddress>, true, address, "", 0, 0, "Address of a sidecar's backend server", settings_profile::sidecar },
     setting_row{ "backend.service", &topLevel<&settings::backendService>, true, name, "", 0, 0, "Service of a sidecar's backend server", settings_profile::sidecar },
     setting_row{ "seeds", &topLevel<&settings::seeds>, false, address, "", 0, 0, "Peer addresses of some daemons, used to join the fleet" },
-    setting_row{ "fleet_key", &topLevel<&settings::fleetKey>, true, text_form::secret, "", 0, 0, "Secret shared by all daemons of the fleet; never printed or logged", settings_profile::daemon },
-    setting_row{ "platform.address", &topLevel<&settings::platformAddress>, false, text_form::address_or_empty, "", 0, 0, "The platform's object API; empty: policies come from peers only" },
+    setting_row{ "fleet_key", &topLevel<&settings::fleetKey>, true, text_form::secret, "", 0, 0, "Secret shared by all daemons of the fleet; never printed or logged; a sidecar that has one accepts links only from those that have it", settings_profile::daemon },
+    setting_row{ "platform.address", &topLevel<&settings::platformAddress>, false, text_form::address_or_empty, "", 0, 0, "The platform's object API; empty: policies come from peers only", settings_profile::any, live },
     setting_row{ "platform.timeout_ms", &topLevel<&settings::platformTimeout>, false, name, "ms", 10, 60'000, "Timeout of a call to the platform, excluding the wait of a watch" },
     setting_row{ "platform.watch_ms", &topLevel<&settings::platformWatch>, false, name, "ms", 100, 300'000, "How long one watch request waits for changes" },
     setting_row{ "platform.calls_per_minute", &topLevel<&settings::platformCallsPerMinute>, false, name, "calls a minute", 1, 100'000, "Rate limit of this daemon's calls to the platform" },
-    setting_row{ "platform.bounds", &topLevel<&settings::platformBounds>, true, text_form::file, "", 0, 0, "Fleet bounds in the format of the platform", settings_profile::sidecar },
+    setting_row{ "platform.bounds", &topLevel<&settings::platformBounds>, true, text_form::file, "", 0, 0, "Fleet bounds in the format of the platform", settings_profile::sidecar, live },
     setting_row{ "limits.threads", &topLevel<&settings::threads>, false, name, "threads", 1, 64, "Worker threads" },
-    setting_row{ "limits.memory_mb", &topLevel<&settings::memoryMb>, false, name, "MB", 0, 1'048'576, "Memory available to the process; a part of it limits the bytes buffered for requests and responses; 0: unlimited", settings_profile::sidecar },
-    setting_row{ "limits.connections", &topLevel<&settings::maxConnections>, false, name, "connections", 1, 65'536, "Maximum number of open connections per HTTP listener" },
+    setting_row{ "limits.memory_mb", &topLevel<&settings::memoryMb>, false, name, "MB", 0, 1'048'576, "Memory available to the process; a part of it limits the bytes buffered for requests and responses; 0: unlimited", settings_profile::sidecar, live },
+    setting_row{ "limits.connections", &topLevel<&settings::maxConnections>, false, name, "connections", 1, 65'536, "Maximum number of open connections per HTTP listener", settings_profile::any, live },
     setting_row{ "limits.calls", &topLevel<&settings::maxCalls>, false, name, "calls", 1, 1'048'576, "Maximum number of calls in progress at the same time" },
-    setting_row{ "limits.header_bytes", &topLevel<&settings::maxHeaderBytes>, false, name, "bytes", 256, 1'048'576, "Maximum header size of a request or response" },
-    setting_row{ "limits.body_bytes", &topLevel<&settings::maxBodyBytes>, false, name, "bytes", 1, 64 * megabyte, "Maximum body size of a request or response" },
-    setting_row{ "limits.idle_timeout_ms", &topLevel<&settings::idleTimeout>, false, name, "ms", 100, hour, "Time until an idle connection is closed" },
-    setting_row{ "limits.request_timeout_ms", &topLevel<&settings::requestTimeout>, false, name, "ms", 10, 600'000, "Time for a complete request to arrive after its first byte" },
+    setting_row{ "limits.header_bytes", &topLevel<&settings::maxHeaderBytes>, false, name, "bytes", 256, 1'048'576, "Maximum header size of a request or response", settings_profile::any, live },
+    setting_row{ "limits.body_bytes", &topLevel<&settings::maxBodyBytes>, false, name, "bytes", 1, 64 * megabyte, "Maximum body size of a request or response", settings_profile::any, live },
+    setting_row{ "limits.idle_timeout_ms", &topLevel<&settings::idleTimeout>, false, name, "ms", 100, hour, "Time until an idle connection is closed", settings_profile::any, live },
+    setting_row{ "limits.request_timeout_ms", &topLevel<&settings::requestTimeout>, false, name, "ms", 10, 600'000, "Time for a complete request to arrive after its first byte", settings_profile::any, live },
     setting_row{ "limits.announce_timeout_ms", &topLevel<&settings::announceTimeout>, false, name, "ms", 100, 60'000, "Time without an announcement after which the backend server counts as absent" },
     setting_row{ "limits.stop_timeout_ms", &topLevel<&settings::stopTimeout>, false, name, "ms", 0, hour, "How long a planned stop waits for calls in flight" },
     setting_row{ "limits.tickets", &topLevel<&settings::ticketCapacity>, false, name, "tickets", 1, 10'000'000, "Maximum number of stored tickets of at-most-once operations" },
     setting_row{ "limits.refusal_records", &topLevel<&settings::refusalRecords>, false, name, "records", 1, 1'000'000, "Maximum number of refusals stored for queries by operators" },
     setting_row{ "routing.attempts_elsewhere", &topLevel<&settings::attemptsElsewhere>, false, name, "upstreams", 0, 16, "Additional upstreams tried for a call that has certainly not run" },
     setting_row{ "routing.subset_size", &topLevel<&settings::subsetSize>, false, name, "upstreams", 1, 1'024, "Maximum number of upstreams per service that this daemon connects to" },
-    setting_row{ "routing.slow_start_ms", &topLevel<&settings::slowStart>, false, name, "ms", 0, 600'000, "Time over which a newly started upstream ramps up to its full share" },
+    setting_row{ "routing.slow_start_ms", &topLevel<&settings::slowStart>, false, name, "ms", 0, 600'000, "Time over which a newly started upstream ramps up to its full share", settings_profile::any, live },
     setting_row{ "gate.enabled", &inGate<&gate_settings::enabled>, false, name, "", 0, 0, "False admits every call regardless of its rank; for comparison only" },
     setting_row{ "gate.initial_limit", &inGate<&gate_settings::initialLimit>, false, name, "calls", 1, 65'536, "Concurrency limit before any measurements exist" },
     setting_row{ "gate.min_limit", &inGate<&gate_settings::minLimit>, false, name, "calls", 1, 65'536, "Minimum concurrency limit" },
@@ -84,8 +85,8 @@
     setting_row{ "membership.datagram_bytes", &inMembership<&member_settings::datagramBytes>, false, name, "bytes", 512, 9'000, "Maximum size of a gossip datagram" },
     setting_row{ "membership.max_members", &inMembership<&member_settings::maxMembers>, false, name, "daemons", 1, 1'048'576, "Maximum number of known daemons" },
     setting_row{ "membership.interests", &inMembership<&member_settings::interests>, false, name, "", 0, 0, "Services whose upstreams in other data centres are tracked; empty: all" },
-    setting_row{ "log.file", &topLevel<&settings::logFile>, false, text_form::file, "", 0, 0, "File that the log is appended to; empty: standard error; `-`: standard output" },
-    setting_row{ "log.level", &topLevel<&settings::logLevel>, false, name, "", 0, 0, "Lowest level that is logged" },
+    setting_row{ "log.file", &topLevel<&settings::logFile>, false, text_form::file, "", 0, 0, "File that the log is appended to; empty: standard error; `-`: standard output", settings_profile::any, live },
+    setting_row{ "log.level", &topLevel<&settings::logLevel>, false, name, "", 0, 0, "Lowest level that is logged", settings_profile::any, live },
 };
 // clang-format on
 
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -50,6 +50,7 @@
     double maximum = 0; ///< For numbers.
     std::string_view help; ///< Meaning, without a trailing full stop.
     settings_profile profile = settings_profile::any; ///< Which process must have it, if it is required.
+    setting_reload reload = setting_reload::restart;
 };
 
 /** @return All settings, in the order of the documentation. */
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -23,6 +23,12 @@
     sidecar ///< Serves requests that are routed by host and path.
 };
 
+/** When a change of a setting takes effect in a running sidecar; a daemon reads its settings only when it starts. */
+enum class setting_reload : std::uint8_t {
+    restart, ///< At the next start.
+    live ///< At once, together with all other live settings of the file.
+};
+
 /** Settings of a daemon or sidecar with their defaults; settings_table.cpp defines path, type, unit and range of each. */
 struct daemon_settings {
     std::string host; ///< Name of this host.
