Fix: Answers without end are cut off within bounded memory, and interim answers are skipped

Cause: the buffer of a connection had no bound, so that a chunk size, an extension or a trailer without end grew until the deadline; a body without a length was bounded by 64 MB for each request alone, in a process that may have 160 MB; a 1xx response was taken for the final one, and the real one for a late answer. Change: a bounded buffer; the body is reserved in the process's budget as it grows; 1xx responses are skipped, eight at most.

--- a/src/daemon/gated_call.cpp
+++ b/src/daemon/gated_call.cpp
@@ -211,6 +211,7 @@
         return makeResult(outcome_reason::connection_lost);
     case http_failure::broken_answer:
     case http_failure::mismatched_answer:
+    case http_failure::memory_exhausted:
         end = work_end::failed;
         return makeResult(outcome_reason::answer_broken);
     }
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -29,6 +29,9 @@
 
 constexpr std::size_t concurrentWriteMinBytes = 32'768; ///< From this body size on, the response is read while the request is still being written.
 constexpr int maxForeignAnswers = 3; ///< Responses to other requests after which a connection is no longer trusted.
+constexpr int maxInterimAnswers = 8; ///< 1xx responses per request; more come only from a server that never answers.
+constexpr std::size_t readSize = 65'536; ///< Greatest size of one read by Beast, bytes.
+constexpr unsigned firstFinalStatus = 200; ///< Lower statuses announce another response.
 constexpr std::int64_t idleMarginMs = 500; ///< An idle connection is dropped this long before the server's keep-alive timeout, to avoid a race with its close.
 
 using detail::copyHeaders;
@@ -67,6 +70,7 @@
         , m_endpoint(std::move(endpoint))
         , m_limits(limits)
         , m_pool(std::move(pool))
+        , m_buffer(limits.maxHeaderBytes + readSize)
     {
     }
 
@@ -93,6 +97,7 @@
     {
         boost::asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] {
             self->m_handler = nullptr;
+            self->m_held = {};
             self->m_stream.close();
         });
     }
@@ -157,6 +162,8 @@
     {
         m_stream.expires_never();
         m_foreignAnswers = 0;
+        m_interimAnswers = 0;
+        m_held = byte_reservation(m_rules.budget);
         m_isWritten = false;
         const bool readsEarly = m_request.body().size() >= concurrentWriteMinBytes;
         http::async_write(m_stream, m_request, [self = shared_from_this(), readsEarly](beast::error_code failure, std::size_t) {
@@ -181,8 +188,20 @@
         m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
         m_parser->body_limit(m_limits.maxBodyBytes);
         m_parser->skip(m_request.method() == http::verb::head);
-        http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) {
-            self->handleRead(failure);
+        m_parser->eager(true);
+        readSome();
+    }
+
+    void readSome()
+    {
+        http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) {
+            if (failure || self->m_parser->is_done()) {
+                self->handleRead(failure);
+            } else if (!self->m_held.tryResize(self->m_parser->get().body().size())) {
+                self->finish({http_failure::memory_exhausted, {}});
+            } else {
+                self->readSome();
+            }
         });
     }
 
@@ -193,6 +212,10 @@
             finish({noBytesReceived ? http_failure::lost : http_failure::broken_answer, {}});
             return;
         }
+        if (m_parser->get().result_int() < firstFinalStatus) {
+            handleInterimAnswer();
+            return;
+        }
         const bool isUnframed = m_parser->need_eof();
         if (isUnframed && !m_rules.acceptsUnframed) {
             finish({http_failure::broken_answer, {}});
@@ -216,6 +239,18 @@
         finishComplete(std::move(result), keepAlive && !isUnframed && m_isWritten && m_foreignAnswers == 0 && m_buffer.size() == 0);
     }
 
+    /** Skips a 1xx response: the final one follows. */
+    void handleInterimAnswer()
+    {
+        ++m_interimAnswers;
+        const bool isUpgrade = m_parser->get().result() == http::status::switching_protocols; // Never requested.
+        if (isUpgrade || m_interimAnswers > maxInterimAnswers) {
+            finish({http_failure::broken_answer, {}});
+        } else {
+            read();
+        }
+    }
+
     /** Drops a late or duplicate response to another request. */
     void handleForeignAnswer(bool keepAlive)
     {
@@ -229,6 +264,7 @@
 
     void finishComplete(http_result result, bool reusable)
     {
+        m_held = {};
         const auto handler = std::exchange(m_handler, nullptr);
         const bool kept = reusable && handler && returnToPool();
         if (!kept) {
@@ -241,6 +277,7 @@
 
     void finish(http_result result)
     {
+        m_held = {};
         m_stream.close();
         const auto handler = std::exchange(m_handler, nullptr);
         if (handler) {
@@ -268,6 +305,8 @@
     http_result_handler m_handler;
     http_answer_rules m_rules;
     std::optional<clock_ms> m_reusableUntil; ///< From the `Keep-Alive` header of the last response; nothing if it had none.
+    byte_reservation m_held; ///< Reservation for the part of the response body that was read.
+    int m_interimAnswers = 0; ///< 1xx responses to this request.
     int m_foreignAnswers = 0; ///< Responses to other requests dropped while waiting for this one.
     bool m_isWritten = false;
     bool m_connected = false;
@@ -304,6 +343,25 @@
 
 } // namespace
 
+std::string_view describe(http_failure failure)
+{
+    switch (failure) {
+    case http_failure::none:
+        return "none";
+    case http_failure::no_connection:
+        return "no_connection";
+    case http_failure::lost:
+        return "lost";
+    case http_failure::broken_answer:
+        return "broken_answer";
+    case http_failure::mismatched_answer:
+        return "mismatched_answer";
+    case http_failure::memory_exhausted:
+        break;
+    }
+    return "memory_exhausted";
+}
+
 struct http_client::state {
     state(boost::asio::io_context &ioContext, tcp::endpoint server, http_limits bounds)
         : context(ioContext)
@@ -382,6 +440,11 @@
     return pending;
 }
 
+void http_client::setLimits(const http_limits &limits)
+{
+    m_state->limits = limits;
+}
+
 std::uint32_t http_client::connections() const
 {
     return m_state->pool->open.load();
--- a/src/http/http_client_base.h
+++ b/src/http/http_client_base.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/byte_budget_base.h"
 #include "http/http_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,12 +23,17 @@
     lost, ///< The connection was lost before the first byte of the response; the request may have been executed.
     broken_answer, ///< The response was truncated, malformed, too large, or had no length.
     mismatched_answer, ///< Only responses to other requests arrived.
+    memory_exhausted ///< The response body doesn't fit into the memory budget.
 };
 
+/** @return The name used in logs, such as `broken_answer`. */
+std::string_view describe(http_failure failure);
+
 /** Which responses the sender of a request accepts. */
 struct http_answer_rules {
     std::function<bool(const http_response &response)> isOwn; ///< Responses that do not match are dropped. Empty: any.
     bool acceptsUnframed = false; ///< Accept a response without a length, which ends when the connection closes.
+    std::shared_ptr<byte_budget> budget; ///< For the response body while it is read; null: limited by `http_limits::maxBodyBytes` alone.
 };
 
 /** The outcome of one request. */
@@ -67,6 +73,9 @@
     /** Sends a request. There is no response timeout: the owner calls abandon() instead. */
     std::shared_ptr<pending_http_request> send(http_request request, http_result_handler handler, http_answer_rules rules = {});
 
+    /** Replaces the limits; an open connection keeps its own. Not synchronized: allowed only if the context runs on one thread. */
+    void setLimits(const http_limits &limits);
+
     /** @return Number of open connections. */
     std::uint32_t connections() const;
 
--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -24,6 +24,7 @@
 namespace
 {
 constexpr std::uint32_t maxHeaderBytes = 16'384; ///< Greatest header of an answer.
+constexpr std::size_t readSize = 65'536; ///< Greatest size of one read by Beast, bytes.
 constexpr clock_ms silenceLimit{3'000}; ///< Without it, a watch on a dead connection would miss changes until its own time-out.
 
 std::optional<tcp::endpoint> parseAddress(const std::string &address)
@@ -91,7 +92,7 @@
     beast::tcp_stream m_stream;
     std::optional<tcp::endpoint> m_endpoint;
     std::string m_address;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{maxHeaderBytes + readSize};
     http::request<http::string_body> m_request;
     std::size_t m_maxAnswerBytes = 0;
     std::optional<http::response_parser<http::string_body>> m_parser;
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -67,15 +67,16 @@
     ::close(m_descriptor);
 }
 
-void raw_socket::send(std::string_view bytes)
+bool raw_socket::send(std::string_view bytes)
 {
     while (!bytes.empty()) {
         const ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (sent <= 0) {
-            return; // The peer has closed the connection; the test notices by what it receives.
+            return false;
         }
         bytes.remove_prefix(static_cast<std::size_t>(sent));
     }
+    return true;
 }
 
 void raw_socket::finishSending()
--- a/tests/support/raw_socket_base.h
+++ b/tests/support/raw_socket_base.h
@@ -22,8 +22,8 @@
     raw_socket(const raw_socket &) = delete;
     raw_socket &operator=(const raw_socket &) = delete;
 
-    /** Sends all bytes. */
-    void send(std::string_view bytes);
+    /** Sends all bytes. @return False if the peer has closed the connection. */
+    bool send(std::string_view bytes);
 
     /** Shuts down the sending direction. */
     void finishSending();
