Fix: A sidecar remembers departures over a restart, gives up after a suspension, ignores the time of day and takes over settings as a whole

Causes, found by reading for what operators of similar systems met: a directory entry with a bad address threw in every sidecar that read it; a restarted sidecar took a late heartbeat of a server that had left for a new one; calls that waited at the gate of a suspended host were sent after their callers had gone, since the steady clock doesn't count that time; a server that started after its clock had been set back was stale for ever; the incarnation came from the time of day; requests without a Host got 503 before the first configuration.

--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -42,9 +42,12 @@
 clock_ms steadyNow();
 
 /**
- * Reads the wall clock, which may jump; used only for logs and incarnation numbers.
+ * Reads the wall clock, which may jump; the sidecar uses it only for logs and answers to operators.
  * @return Milliseconds since the Unix epoch.
  */
 clock_ms wallNow();
 
+/** Replaces the wall clock of the whole process, for tests with jumps; an empty source restores the system's. Not thread-safe. */
+void setWallClock(clock_source source);
+
 } // namespace cicadamux
--- a/src/http/http_endpoint.cpp
+++ b/src/http/http_endpoint.cpp
@@ -40,6 +40,16 @@
     return {ip, port};
 }
 
+bool isEndpoint(std::string_view address)
+{
+    try {
+        parseEndpoint(address);
+        return true;
+    } catch (const address_error &) {
+        return false;
+    }
+}
+
 std::string formatEndpoint(const boost::asio::ip::tcp::endpoint &endpoint)
 {
     const std::string host = endpoint.address().to_string();
--- a/src/http/http_endpoint_func.h
+++ b/src/http/http_endpoint_func.h
@@ -16,6 +16,9 @@
  */
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view address);
 
+/** @return Whether parseEndpoint() can parse it. */
+bool isEndpoint(std::string_view address);
+
 /** Formats an endpoint so that parseEndpoint() can parse it. */
 std::string formatEndpoint(const boost::asio::ip::tcp::endpoint &endpoint);
 
--- a/src/sidecar/configuration_source.cpp
+++ b/src/sidecar/configuration_source.cpp
@@ -33,6 +33,11 @@
     m_mirror->start();
 }
 
+void configuration_source::refresh()
+{
+    m_mirror->refresh();
+}
+
 void configuration_source::stop()
 {
     m_mirror->stop();
--- a/src/sidecar/configuration_source_base.h
+++ b/src/sidecar/configuration_source_base.h
@@ -22,6 +22,9 @@
     configuration_source(sidecar_core &core, object_store &store, std::function<void()> changed);
 
     void start();
+    /** Lists again at once, after the store was replaced. */
+    void refresh();
+
     void stop();
 
     /** Applies a configuration that another host sent, if it is newer. */
--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -2,6 +2,8 @@
 
 #include "sidecar/host_directory_base.h"
 
+#include "http/http_endpoint_func.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -51,7 +53,7 @@
     }
     const json::object &object = value.get_object();
     const host_entry entry{readText(object, "host"), readText(object, "data_center"), readText(object, "service"), readText(object, "link_address")};
-    if (entry.host.empty() || entry.linkAddress.empty()) {
+    if (entry.host.empty() || !detail::isEndpoint(entry.linkAddress)) {
         return std::nullopt;
     }
     return entry;
@@ -79,6 +81,11 @@
     m_mirror->start();
 }
 
+void host_directory::refresh()
+{
+    m_mirror->refresh();
+}
+
 void host_directory::applyEntries(const std::map<std::string, stored_object> &objects)
 {
     m_hasListing = true;
@@ -129,7 +136,9 @@
     };
     known_host &known = m_hosts[entry.host];
     known.entry = entry;
-    known.link = std::make_shared<host_link>(m_core.context, entry.linkAddress, host_link_settings{}, std::move(hooks));
+    host_link_settings settings;
+    settings.key = m_core.settings.fleetKey;
+    known.link = std::make_shared<host_link>(m_core.context, entry.linkAddress, settings, std::move(hooks));
     known.removeAt = drawRemovalTime();
     known.link->start();
 }
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -48,6 +48,9 @@
 
     void start();
 
+    /** Lists again at once, after the store was replaced. */
+    void refresh();
+
     /** Adds the hosts that another host knows; ignored once the store has listed the hosts. */
     void receiveIntroduction(const host_introduction &hosts);
 
--- a/src/sidecar/request_entry.cpp
+++ b/src/sidecar/request_entry.cpp
@@ -39,6 +39,7 @@
     const auto inbound = std::make_shared<inbound_request>(m_core.context);
     inbound->exchange = exchange;
     inbound->arrivedAt = steadyNow();
+    m_core.stalls.check();
     const outcome_reason refusal = m_intake.admit(*inbound, std::move(request));
     if (refusal != outcome_reason::none) {
         fail(inbound, refusal);
@@ -60,6 +61,11 @@
             handleCallerGone(locked);
         }
     });
+    armTimeout(inbound);
+}
+
+void request_entry::armTimeout(const request_pointer &inbound)
+{
     inbound->timer.expires_after(detail::toChrono(inbound->limit - steadyNow()));
     inbound->timer.async_wait([this, weak = std::weak_ptr(inbound)](boost::system::error_code cancelled) {
         const auto locked = weak.lock();
@@ -69,6 +75,14 @@
     });
 }
 
+void request_entry::handleStall(const stall &found)
+{
+    for (const request_pointer &inbound : m_open) {
+        inbound->limit = inbound->limit - found.uncounted;
+        armTimeout(inbound);
+    }
+}
+
 void request_entry::startAttempt(const request_pointer &inbound)
 {
     if (m_attempts.begin(inbound)) {
@@ -294,7 +308,7 @@
               {"admitted_percent", static_cast<std::int32_t>(inbound.admittedFraction * percent)},
               {"parents", static_cast<std::uint64_t>(inbound.parents.candidates.size())},
               {"held_ms", (steadyNow() - inbound.arrivedAt).count},
-              {"limit_ms", (inbound.limit - inbound.arrivedAt).count},
+              {"limit_ms", inbound.limit.count == 0 ? 0 : (inbound.limit - inbound.arrivedAt).count},
               {"retry_after_ms", inbound.retryAfter.count},
               {"configuration", m_core.routes.version()}});
 }
--- a/src/sidecar/request_entry_base.h
+++ b/src/sidecar/request_entry_base.h
@@ -33,11 +33,15 @@
     /** Unless the link is up, retries the idempotent requests in progress on it at other hosts. */
     void linkChanged(const std::string &host, link_health health);
 
+    /** Corrects the time limits of the open requests by the time that the steady clock missed. */
+    void handleStall(const stall &found);
+
     /** @return Number of requests that are not answered yet. */
     std::size_t openCount() const;
 
 private:
     void track(const request_pointer &inbound);
+    void armTimeout(const request_pointer &inbound);
     void startAttempt(const request_pointer &inbound);
     void handleReply(const request_pointer &inbound, link_reply reply);
     void handleRefusal(const request_pointer &inbound, const link_reply &reply);
--- a/src/sidecar/request_intake.cpp
+++ b/src/sidecar/request_intake.cpp
@@ -15,6 +15,7 @@
 {
 constexpr clock_ms defaultTimeLimit{30'000}; ///< If neither the caller gives a deadline nor the route a time-out.
 constexpr clock_ms notConfiguredRetry{500}; ///< Retry-After before the first configuration.
+constexpr clock_ms unreadRetry{100}; ///< Retry-After for a request that may be too old: a repeat is surely younger.
 
 std::optional<clock_ms> readMilliseconds(std::optional<std::string_view> text)
 {
@@ -24,6 +25,13 @@
     }
     return clock_ms{std::max<std::int64_t>(0, number)};
 }
+
+std::size_t countHeaders(std::span<const http_field> headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(headers, [name](const http_field &field) {
+        return sameHeaderName(field.name, name);
+    }));
+}
 } // namespace
 
 request_intake::request_intake(sidecar_core &core, const running_calls &running)
@@ -37,6 +45,9 @@
 {
     const wire_headers &names = m_core.adapter.headers;
     inbound.requestId = std::string(findHeader(request.headers, names.requestId).value_or(""));
+    if (countHeaders(request.headers, "host") != 1) { // RFC 9112, section 3.2.
+        return outcome_reason::bad_request;
+    }
     if (m_core.routes.version() == 0) {
         inbound.retryAfter = notConfiguredRetry;
         return outcome_reason::no_policy;
@@ -54,7 +65,11 @@
     findOrigin(inbound, deadline);
     m_core.repeats.countRequest(inbound.service, {inbound.isCall, inbound.repeatWeight}, inbound.arrivedAt);
     const clock_ms timeout = inbound.route->timeout;
-    inbound.limit = inbound.arrivedAt + (timeout.count > 0 ? std::min(deadline, timeout) : deadline);
+    inbound.limit = inbound.arrivedAt + (timeout.count > 0 ? std::min(deadline, timeout) : deadline) - m_core.stalls.maxUnreadTime();
+    if (inbound.limit <= inbound.arrivedAt) {
+        inbound.retryAfter = unreadRetry;
+        return outcome_reason::deadline_passed;
+    }
     if (refusesEarly(inbound)) {
         return outcome_reason::overloaded;
     }
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -55,13 +55,14 @@
     bool isRunning = false; ///< Holds a slot.
     std::string serverId; ///< Id of the backend server that it was sent to.
     std::shared_ptr<pending_http_request> pending;
+    http_failure transport = http_failure::none; ///< Why there was no usable response.
     byte_reservation body;
     boost::asio::steady_timer timer;
 };
 
 server_gate::server_gate(sidecar_core &core)
     : m_core(core)
-    , m_registry(core.settings.backendService, core.settings.backendAddress)
+    , m_registry(core.settings.backendService, core.settings.backendAddress, core.bounds.heartbeat)
     , m_queue(slot_queue_settings{})
     , m_client(core.context, core.settings.backendAddress, clientLimits(core.settings))
 {
@@ -72,7 +73,7 @@
 std::function<void()> server_gate::submit(link_call call, link_responder responder)
 {
     const clock_ms now = steadyNow();
-    if (now < m_refuseUntil) {
+    if (m_core.stalls.maxUnreadTime().count > 0) { // The call may be older than its stated remaining time says.
         refuse(responder, outcome_reason::daemon_busy, defaultRetryAfter);
         return [] {};
     }
@@ -103,6 +104,12 @@
     };
 }
 
+void server_gate::applySettings()
+{
+    m_client.setLimits(clientLimits(m_core.settings));
+    m_registry.setHeartbeat(m_core.bounds.heartbeat);
+}
+
 heartbeat_verdict server_gate::heartbeat(const server_announcement &announcement)
 {
     const known_server before = m_registry.current();
@@ -118,10 +125,10 @@
     return verdict;
 }
 
-void server_gate::departure(const server_announcement &announcement)
+void server_gate::departure(const std::string &id, std::optional<clock_ms> startedAt)
 {
     const server_state before = m_registry.current().state;
-    m_registry.departure(announcement.id, announcement.startedAt, steadyNow());
+    m_registry.departure(id, startedAt, steadyNow());
     if (m_registry.current().state != before) {
         stateChanged("departure");
     }
@@ -153,9 +160,20 @@
     applyDecisions();
 }
 
-void server_gate::refuseUntil(clock_ms instant)
+void server_gate::handleStall(const stall &found)
 {
-    m_refuseUntil = instant;
+    const clock_ms now = steadyNow();
+    m_queue.close(outcome_reason::daemon_busy, now, m_decisions);
+    if (m_registry.current().state == server_state::serving) {
+        m_queue.setSlots(m_registry.current().slots, now, m_decisions);
+    }
+    for (const auto &[id, call] : m_calls) {
+        if (call->isRunning) {
+            call->deadline = call->deadline - found.uncounted;
+            armTimeout(call);
+        }
+    }
+    applyDecisions();
 }
 
 host_report server_gate::report() const
@@ -219,7 +237,7 @@
             const call_pointer call = found->second;
             call->waited = decision.waited;
             if (decision.admitted) {
-                send(call);
+                sendOrRefuse(call);
                 continue;
             }
             link_reply reply;
@@ -232,13 +250,24 @@
     m_isApplyingDecisions = false;
 }
 
-void server_gate::send(const call_pointer &call)
+/** Sends an admitted call, unless this process was suspended since its admission was decided. */
+void server_gate::sendOrRefuse(const call_pointer &call)
+{
+    m_core.stalls.check();
+    if (m_core.stalls.maxUnreadTime().count == 0) {
+        send(call);
+        return;
+    }
+    call->isRunning = true; // It holds a slot, which finish() gives back.
+    link_reply reply;
+    reply.outcome = call_outcome::not_run;
+    reply.reason = outcome_reason::daemon_busy;
+    reply.retryAfter = defaultRetryAfter;
+    finish(call, false, std::move(reply));
+}
+
+void server_gate::armTimeout(const call_pointer &call)
 {
-    checkInvariant(m_registry.current().state == server_state::serving, invariant::draining_idle, "call sent to a backend server that is not serving");
-    call->isRunning = true;
-    call->sentAt = steadyNow();
-    m_running.add(call->id, call->deadline, call->call.repeatWeight);
-    call->serverId = m_registry.current().id;
     call->timer.expires_after(detail::toChrono(call->deadline + responseGrace - steadyNow()));
     call->timer.async_wait([this, weak = std::weak_ptr(call)](boost::system::error_code cancelled) {
         const auto locked = weak.lock();
@@ -246,8 +275,19 @@
             handleTimeout(locked);
         }
     });
+}
+
+void server_gate::send(const call_pointer &call)
+{
+    checkInvariant(m_registry.current().state == server_state::serving, invariant::draining_idle, "call sent to a backend server that is not serving");
+    call->isRunning = true;
+    call->sentAt = steadyNow();
+    m_running.add(call->id, call->deadline, call->call.repeatWeight);
+    call->serverId = m_registry.current().id;
+    armTimeout(call);
     http_answer_rules rules;
     rules.acceptsUnframed = true;
+    rules.budget = m_core.heldBytes;
     rules.isOwn = [name = std::string_view(m_core.adapter.headers.requestId), request = call->call.requestId](const http_response &response) {
         const auto echoed = findHeader(response.headers, name);
         return !echoed || *echoed == request;
@@ -278,6 +318,7 @@
 void server_gate::handleResult(const call_pointer &call, http_result result)
 {
     call->pending.reset();
+    call->transport = result.failure;
     const bool isUnreachable = result.failure == http_failure::no_connection;
     const bool wasRun = result.failure == http_failure::none && !findHeader(result.response.headers, m_core.adapter.headers.notExecuted);
     link_reply reply = classifyResult(*call, std::move(result));
@@ -308,6 +349,7 @@
         return reply;
     case http_failure::broken_answer:
     case http_failure::mismatched_answer:
+    case http_failure::memory_exhausted:
         reply.reason = outcome_reason::answer_broken;
         return reply;
     }
@@ -395,6 +437,7 @@
               {"rank", call.call.rank},
               {"server", call.serverId},
               {"reached_server", reply.reachedServer},
+              {"transport", describe(call.transport)},
               {"waited_ms", call.waited.count},
               {"held_ms", (steadyNow() - call.arrivedAt).count},
               {"left_ms", (call.deadline - steadyNow()).count},
--- a/src/sidecar/server_gate_base.h
+++ b/src/sidecar/server_gate_base.h
@@ -35,17 +35,20 @@
      */
     std::function<void()> submit(link_call call, link_responder responder);
 
+    /** Takes over the live settings. */
+    void applySettings();
+
     /** Processes a heartbeat of the backend server. */
     heartbeat_verdict heartbeat(const server_announcement &announcement);
 
     /** Processes the backend server's notice that it leaves. */
-    void departure(const server_announcement &announcement);
+    void departure(const std::string &id, std::optional<clock_ms> startedAt);
 
     /** Refuses calls that have waited too long; called periodically. */
     void tick();
 
-    /** Refuses all calls until `instant`: after a stall of this process the age of the calls that it reads is unknown. */
-    void refuseUntil(clock_ms instant);
+    /** Refuses the waiting calls, and corrects the time limits of the running ones by the time that the steady clock missed. */
+    void handleStall(const stall &found);
 
     host_report report() const;
 
@@ -66,11 +69,13 @@
 
     void stateChanged(std::string_view why);
     void applyDecisions();
+    void sendOrRefuse(const call_pointer &call);
     void send(const call_pointer &call);
     http_request forwardedRequest(const gated_call &call) const;
     void handleResult(const call_pointer &call, http_result result);
     link_reply classifyResult(const gated_call &call, http_result result);
     void finish(const call_pointer &call, bool wasRun, link_reply reply);
+    void armTimeout(const call_pointer &call);
     void handleTimeout(const call_pointer &call);
     void cancel(const call_pointer &call);
     void refuse(const link_responder &responder, outcome_reason reason, clock_ms retryAfter);
@@ -85,7 +90,6 @@
     std::vector<slot_decision> m_decisions; ///< Not applied yet.
     bool m_isApplyingDecisions = false;
     std::uint64_t m_lastId = 0;
-    clock_ms m_refuseUntil;
     running_calls m_running;
     run_times m_runTimes;
 };
--- a/src/sidecar/server_registry.cpp
+++ b/src/sidecar/server_registry.cpp
@@ -9,14 +9,21 @@
 {
 constexpr std::size_t maxDeparted = 64; ///< Departed incarnations that are kept.
 constexpr std::int64_t unknownStart = -1;
+constexpr std::int64_t silentHeartbeats = 2; ///< Heartbeat intervals without a heartbeat after which the known server counts as ended.
 } // namespace
 
-server_registry::server_registry(std::string service, std::string address)
+server_registry::server_registry(std::string service, std::string address, clock_ms heartbeat)
     : m_service(std::move(service))
     , m_address(std::move(address))
+    , m_heartbeat(heartbeat)
 {
 }
 
+void server_registry::setHeartbeat(clock_ms heartbeat)
+{
+    m_heartbeat = heartbeat;
+}
+
 heartbeat_verdict server_registry::heartbeat(const server_announcement &announcement, clock_ms now)
 {
     if (announcement.service != m_service || announcement.address != m_address || announcement.slots == 0 || !announcement.startedAt) {
@@ -24,10 +31,17 @@
     }
     const clock_ms startedAt = *announcement.startedAt;
     const bool isKnown = announcement.id == m_server.id && startedAt == m_server.startedAt;
-    const bool isOlder = isKnown ? announcement.sequence <= m_server.sequence : startedAt <= m_server.startedAt && !m_server.id.empty();
-    if (isOlder || hasDeparted(announcement.id, startedAt)) {
+    if (hasDeparted(announcement.id, startedAt) || (isKnown && announcement.sequence <= m_server.sequence)) {
+        return heartbeat_verdict::stale;
+    }
+    const bool startedEarlier = !isKnown && !m_server.id.empty() && startedAt <= m_server.startedAt;
+    if (startedEarlier && !isConfirmedStart(announcement, now)) {
         return heartbeat_verdict::stale;
     }
+    if (!isKnown && !m_server.id.empty()) {
+        addDeparted(m_server.id, m_server.startedAt.count);
+    }
+    m_candidate.reset();
     const bool wasDraining = isKnown && m_server.state == server_state::draining;
     m_server = {announcement.id,
                 startedAt,
@@ -41,12 +55,9 @@
 
 bool server_registry::departure(const std::string &id, std::optional<clock_ms> startedAt, clock_ms now)
 {
-    if (m_departed.size() >= maxDeparted) {
-        m_departed.erase(m_departed.begin());
-    }
     const bool isKnown = id == m_server.id && (!startedAt || *startedAt == m_server.startedAt);
     const std::int64_t startKey = startedAt ? startedAt->count : (isKnown ? m_server.startedAt.count : unknownStart);
-    m_departed.emplace(id, startKey);
+    addDeparted(id, startKey);
     if (isKnown) {
         m_server.state = server_state::absent;
         m_server.updatedAt = now;
@@ -54,6 +65,24 @@
     return isKnown || m_server.id.empty();
 }
 
+/** @return Whether the known server has ended and this is the second heartbeat of another one. */
+bool server_registry::isConfirmedStart(const server_announcement &announcement, clock_ms now)
+{
+    const bool isSilent = m_server.state == server_state::absent || now - m_server.updatedAt > clock_ms{m_heartbeat.count * silentHeartbeats};
+    const bool isRepeated = m_candidate && m_candidate->id == announcement.id && m_candidate->startedAt == announcement.startedAt
+        && m_candidate->sequence < announcement.sequence;
+    m_candidate = announcement;
+    return isSilent && isRepeated;
+}
+
+void server_registry::addDeparted(const std::string &id, std::int64_t startKey)
+{
+    if (m_departed.size() >= maxDeparted) {
+        m_departed.erase(m_departed.begin());
+    }
+    m_departed.emplace(id, startKey);
+}
+
 void server_registry::markUnreachable()
 {
     if (m_server.state == server_state::serving) {
--- a/src/sidecar/server_registry_base.h
+++ b/src/sidecar/server_registry_base.h
@@ -45,13 +45,19 @@
 };
 
 /**
- * Orders incarnations by start time, and the heartbeats of an incarnation by sequence number. Draining and departure are
- * final for an incarnation. Not thread-safe.
+ * Orders the heartbeats of an incarnation by sequence number. A later start time shows a newer incarnation at once; an
+ * earlier one, which a stepped clock can cause, only once the known server is silent or gone and a second heartbeat
+ * follows, since a single one may be a late heartbeat of an earlier incarnation. Draining and departure are final for an
+ * incarnation. Not thread-safe.
  */
 class server_registry
 {
 public:
-    server_registry(std::string service, std::string address);
+    /** @param heartbeat Interval between heartbeats of a server. */
+    server_registry(std::string service, std::string address, clock_ms heartbeat = {1'500});
+
+    /** Changes the interval between heartbeats. */
+    void setHeartbeat(clock_ms heartbeat);
 
     heartbeat_verdict heartbeat(const server_announcement &announcement, clock_ms now);
 
@@ -64,11 +70,15 @@
     const known_server &current() const;
 
 private:
+    bool isConfirmedStart(const server_announcement &announcement, clock_ms now);
+    void addDeparted(const std::string &id, std::int64_t startKey);
     bool hasDeparted(const std::string &id, clock_ms startedAt) const;
 
     std::string m_service;
     std::string m_address;
+    clock_ms m_heartbeat;
     known_server m_server;
+    std::optional<server_announcement> m_candidate; ///< Last heartbeat of an incarnation with an earlier start time than the known one's.
     std::set<std::pair<std::string, std::int64_t>> m_departed; ///< Id and start time of departed incarnations; -1 if the start time is unknown.
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -8,9 +8,10 @@
 #include "http/http_fields_func.h"
 #include "http/http_status_type.h"
 #include "operator/query_func.h"
+#include "settings/settings_func.h"
 #include "sidecar/local_response_func.h"
 
-#include <ctime>
+#include <limits>
 
 namespace cicadamux
 {
@@ -23,8 +24,6 @@
 constexpr std::size_t heldBytesDivisor = 6;
 constexpr std::size_t failureHistoryCapacity = 256; ///< About 100 KB; at 60 failures a second it covers some seconds.
 constexpr clock_ms logReportPeriod{1'000};
-constexpr clock_ms stallLimit{1'200}; ///< The event loop never takes this long on its own; a longer gap means that the process or the host was suspended.
-constexpr clock_ms stallRefusalTime{100}; ///< After a stall; covers the messages that had been queued before it.
 constexpr clock_ms readinessNoticeTime{2'500}; ///< After a stop began: time for two readiness checks of the platform, one a second, and a margin.
 constexpr clock_ms killMargin{700}; ///< Time before the platform kills the process.
 constexpr clock_ms maxLinkWait{2'000}; ///< Time for links to come up; after it the host is ready without them.
@@ -33,16 +32,6 @@
 constexpr clock_ms writeTimeout{60'000}; ///< Time for a slow client to read its response.
 constexpr std::uint32_t pipelineDepth = 16; ///< Concurrent requests on one connection.
 
-/** Reads the clock that also advances while the host is suspended. */
-clock_ms bootNow()
-{
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    constexpr std::int64_t second = 1'000; // Milliseconds.
-    constexpr std::int64_t nanoseconds = 1'000'000; // In a millisecond.
-    return {now.tv_sec * second + now.tv_nsec / nanoseconds};
-}
-
 repeat_budget_settings budgetSettings(const fleet_bounds &bounds)
 {
     repeat_budget_settings settings;
@@ -52,44 +41,54 @@
     return settings;
 }
 
-/** @return Null for no limit. */
-std::shared_ptr<byte_budget> makeBudget(std::uint32_t memoryMb)
+/** @return Bytes that requests and responses may take together. */
+std::size_t heldBytesLimit(std::uint32_t memoryMb)
 {
     constexpr std::size_t megabyte = 1'000'000; // Bytes.
-    return memoryMb == 0 ? nullptr : std::make_shared<byte_budget>(memoryMb * megabyte / heldBytesDivisor);
+    return memoryMb == 0 ? std::numeric_limits<std::size_t>::max() : memoryMb * megabyte / heldBytesDivisor;
 }
 } // namespace
 
-sidecar_core::sidecar_core(boost::asio::io_context &ioContext, const daemon_settings &daemonSettings, sidecar_adapter platformAdapter)
+sidecar_core::sidecar_core(boost::asio::io_context &ioContext, const daemon_settings &daemonSettings, sidecar_adapter platformAdapter, clock_source bootClock)
     : context(ioContext)
     , settings(daemonSettings)
     , adapter(std::move(platformAdapter))
     , bounds(adapter.readBounds(settings.platformBounds))
-    , incarnation{static_cast<std::uint64_t>(wallNow().count)}
+    , incarnation{threadRandom()}
     , upstreams(routerSettingsOf(settings), threadRandom)
     , repeats(budgetSettings(bounds))
     , log(decision_log_settings{})
     , failures(failureHistoryCapacity)
-    , heldBytes(makeBudget(settings.memoryMb))
+    , heldBytes(std::make_shared<byte_budget>(heldBytesLimit(settings.memoryMb)))
+    , stalls(std::move(bootClock), steadyNow)
 {
 }
 
-sidecar::sidecar(boost::asio::io_context &context, const daemon_settings &settings, const sidecar_adapter &adapter)
+sidecar::sidecar(boost::asio::io_context &context, const daemon_settings &settings, const sidecar_adapter &adapter, clock_source bootClock)
     : m_context(context)
-    , m_core(context, settings, adapter)
+    , m_core(context, settings, adapter, std::move(bootClock))
     , m_store(adapter.makeStore(context, settings.platformAddress))
     , m_gate(m_core)
-    , m_directory(m_core, *m_store, {settings.host, settings.dataCenter, settings.backendService, settings.peerAddress}, directoryHooks())
+    , m_directory(m_core, m_store, {settings.host, settings.dataCenter, settings.backendService, settings.peerAddress}, directoryHooks())
     , m_configuration(m_core,
-                      *m_store,
+                      m_store,
                       [this] {
                           configurationChanged();
                       })
+    , m_departures(std::make_shared<departure_record>(context,
+                                                      m_store,
+                                                      settings.host,
+                                                      [this](const departed_server &server) {
+                                                          m_gate.departure(server.id, server.startedAt);
+                                                          upstreamsChanged();
+                                                      }))
     , m_entry(m_core, m_gate, m_directory)
     , m_timer(context)
     , m_startedAt(steadyNow())
-    , m_lastBootTime(bootNow())
 {
+    m_core.stalls.onStall([this](const stall &found) {
+        handleStall(found);
+    });
 }
 
 sidecar::~sidecar() = default;
@@ -99,6 +98,7 @@
     startListeners();
     m_configuration.start();
     m_directory.start();
+    m_departures->start();
     tick();
     logEvent(log_level::info,
              "sidecar_started",
@@ -112,7 +112,7 @@
 void sidecar::startListeners()
 {
     const daemon_settings &settings = m_core.settings;
-    m_links = std::make_unique<link_server>(m_context, settings.peerAddress, settings.maxBodyBytes + messageOverhead, linkHooks());
+    m_links = std::make_unique<link_server>(m_context, settings.peerAddress, settings.maxBodyBytes + messageOverhead, linkHooks(), settings.fleetKey);
     const http_limits limits = listenerLimits(settings);
     const http_refusal_builder refusalBuilder = makeReadFailureResponse;
     m_ready = std::make_unique<http_server>(
@@ -162,7 +162,7 @@
 {
     link_server_hooks hooks;
     hooks.call = [this](link_call call, link_responder responder) {
-        detectStall(bootNow());
+        m_core.stalls.check();
         return m_gate.submit(std::move(call), std::move(responder));
     };
     hooks.report = [this] {
@@ -223,19 +223,35 @@
         exchange->respond(makeJsonResponse(http_status::notFound, R"({"error":"no_such_call"})"));
         return;
     }
-    if (message->isDeparture) {
-        m_gate.departure(message->announcement);
+    handleServerMessage(*message, exchange);
+}
+
+/** Applies a heartbeat or a departure. A departure is stored before it is acknowledged, as long as the store answers. */
+void sidecar::handleServerMessage(const server_message &message, const std::shared_ptr<http_exchange> &exchange)
+{
+    const server_announcement &announced = message.announcement;
+    if (message.isDeparture) {
+        m_gate.departure(announced.id, announced.startedAt);
         upstreamsChanged();
-    } else if (m_gate.heartbeat(message->announcement) == heartbeat_verdict::foreign) {
-        logEvent(log_level::warning,
-                 "heartbeat_foreign",
-                 {{"server", message->announcement.id}, {"service", message->announcement.service}, {"address", message->announcement.address}});
+    } else if (m_gate.heartbeat(announced) == heartbeat_verdict::foreign) {
+        logEvent(log_level::warning, "heartbeat_foreign", {{"server", announced.id}, {"service", announced.service}, {"address", announced.address}});
         exchange->respond(makeJsonResponse(http_status::badRequest, R"({"error":"foreign_server"})"));
         return;
     } else if (m_gate.server().state != m_gateState) {
         upstreamsChanged();
     }
-    exchange->respond(makeJsonResponse(http_status::ok, "{}"));
+    auto acknowledge = [exchange] {
+        exchange->respond(makeJsonResponse(http_status::ok, "{}"));
+    };
+    const known_server &server = m_gate.server();
+    const bool isKnown = announced.id == server.id;
+    if (isKnown && server.state != server_state::serving) {
+        m_departures->record({server.id, server.startedAt}, std::move(acknowledge));
+    } else if (message.isDeparture && server.id.empty()) { // This sidecar has restarted since the server's last heartbeat.
+        m_departures->record({announced.id, announced.startedAt}, std::move(acknowledge));
+    } else {
+        acknowledge();
+    }
 }
 
 void sidecar::handleMetrics(const std::shared_ptr<http_exchange> &exchange)
@@ -245,7 +261,7 @@
     m_core.metrics.setGauge("gate_in_use", report.inUse);
     m_core.metrics.setGauge("gate_waiting", report.waiting);
     m_core.metrics.setGauge("requests_open", static_cast<double>(m_entry.openCount()));
-    m_core.metrics.setGauge("held_bytes", m_core.heldBytes ? static_cast<double>(m_core.heldBytes->used()) : 0);
+    m_core.metrics.setGauge("held_bytes", static_cast<double>(m_core.heldBytes->used()));
     m_core.metrics.setGauge("hosts_known", static_cast<double>(m_directory.hostCount()));
     m_core.metrics.setGauge("configuration_version", static_cast<double>(report.configurationVersion));
     http_response response;
@@ -282,8 +298,17 @@
 
 void sidecar::configurationChanged()
 {
-    const entry_limits &configured = m_core.routes.current()->limits;
+    m_outbound->setLimits(outboundLimits());
+}
+
+/** Settings bound all listeners; the configuration bounds what clients may send, once there is one. */
+http_limits sidecar::outboundLimits() const
+{
     http_limits limits = listenerLimits(m_core.settings);
+    if (m_core.routes.version() == 0) {
+        return limits;
+    }
+    const entry_limits &configured = m_core.routes.current()->limits;
     limits.maxHeaderBytes = configured.maxHeaderBytes;
     limits.maxBodyBytes = configured.maxBodyBytes;
     limits.requestTimeout = configured.headerTimeout;
@@ -291,7 +316,56 @@
     limits.writeTimeout = writeTimeout;
     limits.idleTimeout = configured.idleTimeout + idleMargin;
     limits.maxPipelined = pipelineDepth;
-    m_outbound->setLimits(limits);
+    return limits;
+}
+
+fleet_bounds sidecar::readBounds(const daemon_settings &fresh) const
+{
+    try {
+        return m_core.adapter.readBounds(fresh.platformBounds);
+    } catch (const decode_error &unreadable) {
+        throw settings_error({{"platform.bounds", unreadable.what(), "bounds in the format of the platform"}});
+    }
+}
+
+void sidecar::applySettings(const daemon_settings &fresh)
+{
+    const fleet_bounds bounds = readBounds(fresh);
+    const std::vector<setting_change> changes = compareSettings(m_core.settings, fresh);
+    std::string live;
+    std::string restart;
+    for (const setting_change &change : changes) {
+        std::string &list = change.isLive ? live : restart;
+        list += (list.empty() ? "" : ",") + std::string(change.path);
+    }
+    const std::string storeAddress = m_core.settings.platformAddress;
+    m_core.settings = withLiveSettings(m_core.settings, fresh);
+    m_core.bounds = bounds;
+    applyLimits();
+    if (m_core.settings.platformAddress != storeAddress) {
+        replaceStore();
+    }
+    logEvent(log_level::info, "settings_applied", {{"live", live}, {"need_restart", restart}});
+}
+
+void sidecar::applyLimits()
+{
+    setUpLog(m_core.settings.host, m_core.settings.logFile, m_core.settings.logLevel);
+    m_core.heldBytes->setLimit(heldBytesLimit(m_core.settings.memoryMb));
+    m_core.repeats.setBound(m_core.bounds.repeatRatio, m_core.bounds.repeatWindow);
+    m_gate.applySettings();
+    for (http_server *listener : {m_ready.get(), m_control.get(), m_metrics.get()}) {
+        listener->setLimits(listenerLimits(m_core.settings));
+    }
+    m_outbound->setLimits(outboundLimits());
+    upstreamsChanged();
+}
+
+void sidecar::replaceStore()
+{
+    m_store.replace(m_core.adapter.makeStore(m_context, m_core.settings.platformAddress));
+    m_configuration.refresh();
+    m_directory.refresh();
 }
 
 void sidecar::upstreamsChanged()
@@ -315,10 +389,20 @@
 }
 
 void sidecar::tick()
+{
+    m_timer.expires_after(detail::toChrono(tickPeriod));
+    m_timer.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            tick();
+        }
+    });
+    runPeriodicWork();
+}
+
+void sidecar::runPeriodicWork()
 {
     const clock_ms now = steadyNow();
-    detectStall(bootNow());
-    m_lastBootTime = bootNow();
+    m_core.stalls.tick();
     m_gate.tick();
     if (m_gate.server().state != m_gateState) {
         upstreamsChanged();
@@ -331,27 +415,31 @@
         stopTick();
     }
     flushLog();
-    m_timer.expires_after(detail::toChrono(tickPeriod));
-    m_timer.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) {
-            tick();
-        }
-    });
 }
 
-/** Makes the gate refuse calls for a while after a stall, because the age of the messages read then is unknown. */
-void sidecar::detectStall(clock_ms now)
+/** Gives up what relies on a time limit from before the stall: callers have gone on meanwhile. */
+void sidecar::handleStall(const stall &found)
 {
-    if (now - m_lastBootTime < stallLimit) {
-        return;
-    }
-    logEvent(log_level::warning, "host_stalled", {{"for_ms", (now - m_lastBootTime).count}});
-    m_lastBootTime = now;
-    m_gate.refuseUntil(steadyNow() + stallRefusalTime);
+    logEvent(log_level::warning,
+             "host_stalled",
+             {{"for_ms", found.length.count},
+              {"uncounted_ms", found.uncounted.count},
+              {"requests", static_cast<std::uint64_t>(m_entry.openCount())},
+              {"calls", static_cast<std::uint64_t>(m_gate.callCount())}});
+    m_gate.handleStall(found);
+    m_entry.handleStall(found);
+}
+
+void sidecar::onSlowTick(std::function<void(clock_ms now)> hook)
+{
+    m_slowTickHook = std::move(hook);
 }
 
 void sidecar::slowTick(clock_ms now)
 {
+    if (m_slowTickHook) {
+        m_slowTickHook(now);
+    }
     m_directory.tick(now);
     const std::string host = m_configuration.hostToAsk(now);
     if (const auto link = host.empty() ? nullptr : m_directory.find(host)) {
@@ -376,6 +464,7 @@
     m_stopped = std::move(done);
     if (m_gate.server().state == server_state::absent && !m_gate.server().id.empty()) {
         m_directory.leave();
+        m_departures->remove();
     }
 }
 
@@ -404,6 +493,7 @@
     m_timer.cancel();
     m_configuration.stop();
     m_directory.stop();
+    m_departures->stop();
     if (m_links) {
         m_links->stop();
     }
--- a/src/sidecar/sidecar_base.h
+++ b/src/sidecar/sidecar_base.h
@@ -5,11 +5,13 @@
 #include "http/http_server_base.h"
 #include "link/link_server_base.h"
 #include "sidecar/configuration_source_base.h"
+#include "sidecar/departure_record_base.h"
 #include "sidecar/host_directory_base.h"
 #include "sidecar/request_entry_base.h"
 #include "sidecar/server_gate_base.h"
 #include "sidecar/sidecar_core_type.h"
 #include "sidecar/sidecar_query_func.h"
+#include "store/replaceable_store_base.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -23,7 +25,8 @@
 class sidecar
 {
 public:
-    sidecar(boost::asio::io_context &context, const daemon_settings &settings, const sidecar_adapter &adapter);
+    /** @param bootClock Advances also while the host is suspended. */
+    sidecar(boost::asio::io_context &context, const daemon_settings &settings, const sidecar_adapter &adapter, clock_source bootClock = bootNow);
     ~sidecar();
     sidecar(const sidecar &) = delete;
     sidecar &operator=(const sidecar &) = delete;
@@ -31,6 +34,15 @@
     /** Binds the listeners and joins the fleet. @throws cicadamux::error */
     void start();
 
+    /**
+     * Takes over the live settings, all at once; requests in flight keep the limits that they began with.
+     * @throws settings_error if the fleet bounds can't be read; then nothing has changed.
+     */
+    void applySettings(const daemon_settings &fresh);
+
+    /** Sets a function that is called a few times a second. */
+    void onSlowTick(std::function<void(clock_ms now)> hook);
+
     /** Begins a graceful stop. @param done Called once nothing is in flight, or shortly before the platform kills the process. */
     void drain(std::function<void()> done);
 
@@ -43,23 +55,30 @@
     host_directory_hooks directoryHooks();
     void handleReady(const http_request &request, const std::shared_ptr<http_exchange> &exchange) const;
     void handleControl(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
+    void handleServerMessage(const server_message &message, const std::shared_ptr<http_exchange> &exchange);
     void handleQuery(const http_request &request, const std::shared_ptr<http_exchange> &exchange) const;
     sidecar_view view() const;
     void handleMetrics(const std::shared_ptr<http_exchange> &exchange);
     bool isReady() const;
     void configurationChanged();
+    fleet_bounds readBounds(const daemon_settings &fresh) const;
+    http_limits outboundLimits() const;
+    void applyLimits();
+    void replaceStore();
     void upstreamsChanged();
     void tick();
-    void detectStall(clock_ms now);
+    void handleStall(const stall &found);
+    void runPeriodicWork();
     void slowTick(clock_ms now);
     void stopTick();
 
     boost::asio::io_context &m_context;
     sidecar_core m_core;
-    std::unique_ptr<object_store> m_store;
+    replaceable_store m_store;
     server_gate m_gate;
     host_directory m_directory;
     configuration_source m_configuration;
+    std::shared_ptr<departure_record> m_departures;
     request_entry m_entry;
     std::unique_ptr<link_server> m_links;
     std::unique_ptr<http_server> m_outbound;
@@ -71,9 +90,9 @@
     clock_ms m_startedAt;
     clock_ms m_slowTickAt;
     clock_ms m_reportedAt; ///< Last report of dropped log lines.
-    clock_ms m_lastBootTime; ///< Last tick, by the clock that also advances while the host is suspended.
     clock_ms m_stoppingSince;
     bool m_closesConnections = false; ///< Second phase of a graceful stop: the outbound listener is closed.
+    std::function<void(clock_ms now)> m_slowTickHook;
     std::function<void()> m_stopped;
 };
 
--- a/src/sidecar/sidecar_core_type.h
+++ b/src/sidecar/sidecar_core_type.h
@@ -5,6 +5,7 @@
 #include "core/byte_budget_base.h"
 #include "core/clock_type.h"
 #include "core/id_type.h"
+#include "core/stall_detector_base.h"
 #include "metrics/metrics_func.h"
 #include "retry/repeat_budget_base.h"
 #include "route/route_table_base.h"
@@ -23,13 +24,13 @@
 
 /** Only accessed by the thread that runs the event loop. */
 struct sidecar_core {
-    sidecar_core(boost::asio::io_context &ioContext, const daemon_settings &daemonSettings, sidecar_adapter platformAdapter);
+    sidecar_core(boost::asio::io_context &ioContext, const daemon_settings &daemonSettings, sidecar_adapter platformAdapter, clock_source bootClock = bootNow);
 
     boost::asio::io_context &context;
-    const daemon_settings settings;
+    daemon_settings settings; ///< Live settings change; see sidecar::applySettings().
     const sidecar_adapter adapter;
-    const fleet_bounds bounds;
-    const incarnation_id incarnation; ///< Start time of this sidecar process, which identifies it.
+    fleet_bounds bounds;
+    const incarnation_id incarnation; ///< Random; identifies this process.
     route_table routes;
     router upstreams;
     repeat_budget repeats;
@@ -37,6 +38,7 @@
     decision_log log;
     request_history failures;
     std::shared_ptr<byte_budget> heldBytes; ///< Limit on the bytes of requests and answers; null for no limit.
+    stall_detector stalls;
     bool stopping = false; ///< A graceful stop has begun.
 };
 
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -1,7 +1,9 @@
 /** @file sidecar_process.cpp Entry point of the sidecar process: event loop and signal handling. */
 
+#include "core/event_loop_func.h"
 #include "core/invariant_func.h"
 #include "settings/settings_func.h"
+#include "sidecar/settings_source_base.h"
 #include "sidecar/sidecar_base.h"
 #include "sidecar/sidecar_func.h"
 
@@ -19,24 +21,12 @@
     logEvent(log_level::error, "invariant_violated", {{"invariant", toString(which)}, {"detail", detail}});
 }
 
-/** Reloads the settings. Only the log settings take effect at once; the others need a restart. */
-void reload(const std::string &settingsFile)
+void checkOnSignal(boost::asio::signal_set &signals, settings_source &source)
 {
-    try {
-        const daemon_settings fresh = loadSettings(settingsFile, settings_profile::sidecar);
-        setUpLog(fresh.host, fresh.logFile, fresh.logLevel);
-        logEvent(log_level::info, "settings_reloaded", {{"file", settingsFile}});
-    } catch (const settings_error &refused) {
-        logEvent(log_level::error, "settings_refused", {{"file", settingsFile}, {"problem", refused.what()}});
-    }
-}
-
-void waitForReload(boost::asio::signal_set &signals, const std::string &settingsFile)
-{
-    signals.async_wait([&signals, &settingsFile](boost::system::error_code cancelled, int) {
+    signals.async_wait([&signals, &source](boost::system::error_code cancelled, int) {
         if (!cancelled) {
-            reload(settingsFile);
-            waitForReload(signals, settingsFile);
+            checkOnSignal(signals, source);
+            source.check("signal");
         }
     });
 }
@@ -44,7 +34,8 @@
 
 int runSidecar(const std::string &settingsFile, const sidecar_adapter &adapter)
 {
-    const daemon_settings settings = loadSettings(settingsFile, settings_profile::sidecar);
+    const std::string text = readSettingsFile(settingsFile);
+    const daemon_settings settings = parseSettings(text, settings_profile::sidecar);
     setUpLog(settings.host, settings.logFile, settings.logLevel);
     setInvariantHook(logViolation);
     std::signal(SIGPIPE, SIG_IGN);
@@ -60,9 +51,15 @@
         }
     });
     boost::asio::signal_set reloadSignals(context, SIGHUP);
-    waitForReload(reloadSignals, settingsFile);
+    settings_source source(settingsFile, text, [&running](const daemon_settings &fresh) {
+        running.applySettings(fresh);
+    });
+    checkOnSignal(reloadSignals, source);
+    running.onSlowTick([&source](clock_ms now) {
+        source.checkIfDue(now);
+    });
     running.start();
-    context.run();
+    runEventLoop(context, logHandlerFailure);
     running.stop();
     logEvent(log_level::info, "sidecar_stopped", {});
     flushLog();
--- a/tests/unit/byte_budget_test.cpp
+++ b/tests/unit/byte_budget_test.cpp
@@ -1,7 +1,10 @@
 /** @file byte_budget_test.cpp Tests of the memory budget for request and response bytes. */
 
 #include "core/byte_budget_base.h"
+#include "http/http_server_base.h"
 #include "sidecar_fleet_fake.h"
+#include "support/io_threads_base.h"
+#include "support/raw_socket_base.h"
 
 #include <doctest/doctest.h>
 
@@ -30,6 +33,28 @@
     CHECK(unbounded.tryResize(1'000'000'000));
 }
 
+TEST_CASE("a body beyond the budget is refused before it is sent")
+{
+    io_threads io;
+    cicadamux::http_server server(
+        io.context,
+        "127.0.0.1:0",
+        http_limits(),
+        [](const cicadamux::http_request &, const std::shared_ptr<cicadamux::http_exchange> &exchange) {
+            exchange->respond({});
+        },
+        [](http_read_failure failure) {
+            http_response response;
+            response.status = failure == http_read_failure::memory_exhausted ? 503 : 400;
+            return response;
+        });
+    server.setBudget(std::make_shared<byte_budget>(100'000));
+    server.open();
+    raw_socket socket(server.boundAddress());
+    socket.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n");
+    CHECK(socket.receiveUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+}
+
 TEST_CASE("a body beyond the memory budget is refused unread with Retry-After and smaller bodies still pass")
 {
     holding_host host(4, 3); // The memory budget is a sixth of 3 MB: 500,000 bytes.
--- a/tests/unit/sidecar_fleet_fake.cpp
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -67,8 +67,9 @@
 }
 } // namespace
 
-sidecar_fleet::sidecar_fleet(std::uint32_t hostMemoryMb)
+sidecar_fleet::sidecar_fleet(std::uint32_t hostMemoryMb, clock_source bootClock)
     : m_memoryMb(hostMemoryMb)
+    , m_bootClock(std::move(bootClock))
 {
 }
 
@@ -88,7 +89,10 @@
     adapter.readyPath = "/ready";
     adapter.configurationKind = "configuration";
     adapter.configurationName = "main";
-    adapter.readBounds = [](std::string_view) {
+    adapter.readBounds = [](std::string_view text) {
+        if (text == "unreadable") {
+            throw decode_error("unreadable bounds");
+        }
         return fleet_bounds();
     };
     adapter.readConfiguration = [this](std::string_view text) {
@@ -96,6 +100,7 @@
     };
     adapter.readServerMessage = readMessage;
     adapter.makeStore = [this](boost::asio::io_context &, const std::string &) {
+        ++storesMade;
         return std::make_unique<platform_client>(platform);
     };
     return adapter;
@@ -124,7 +129,7 @@
 
 void sidecar_fleet::startSidecar(sidecar_host &host)
 {
-    host.running = std::make_unique<sidecar>(context, host.settings, makeAdapter());
+    host.running = std::make_unique<sidecar>(context, host.settings, makeAdapter(), m_bootClock);
     host.running->start();
 }
 
@@ -259,8 +264,8 @@
     }
 }
 
-holding_host::holding_host(std::uint32_t slots, std::uint32_t memoryMb)
-    : fleet(memoryMb)
+holding_host::holding_host(std::uint32_t slots, std::uint32_t memoryMb, clock_source bootClock)
+    : fleet(memoryMb, std::move(bootClock))
     , entry(fleet.add("feebox", [this](const std::shared_ptr<test::http_exchange> &exchange) {
         held.push_back(exchange);
     }))
--- a/tests/unit/sidecar_fleet_fake.h
+++ b/tests/unit/sidecar_fleet_fake.h
@@ -42,8 +42,11 @@
     sidecar_fleet(const sidecar_fleet &) = delete;
     sidecar_fleet &operator=(const sidecar_fleet &) = delete;
 
-    /** @param hostMemoryMb Setting `limits.memory_mb` of all hosts. */
-    explicit sidecar_fleet(std::uint32_t hostMemoryMb = 0);
+    /**
+     * @param hostMemoryMb Setting `limits.memory_mb` of all hosts.
+     * @param bootClock Advances also while the hosts are suspended.
+     */
+    explicit sidecar_fleet(std::uint32_t hostMemoryMb = 0, clock_source bootClock = bootNow);
 
     /** Starts a host whose backend server handles requests with `serve`, by default with a successful answer. */
     sidecar_host &add(const std::string &service, served_handler serve = answerWell);
@@ -81,6 +84,7 @@
 
     boost::asio::io_context context;
     fake_platform platform{context};
+    std::uint64_t storesMade = 0; ///< Clients of the platform that sidecars have made.
 
 private:
     sidecar_adapter makeAdapter();
@@ -88,6 +92,7 @@
     void startSidecar(sidecar_host &host);
 
     std::uint32_t m_memoryMb;
+    clock_source m_bootClock;
     std::map<std::string, route_configuration> m_configurations; ///< By the text that stands for it in the store.
     std::vector<std::unique_ptr<sidecar_host>> m_hosts;
     std::vector<std::unique_ptr<sidecar>> m_ended;
@@ -108,7 +113,7 @@
 /** A host whose backend server `i-1` serves `feebox` and holds each request until the test answers it. */
 struct holding_host {
     /** @throws cicadamux::error if it isn't ready in time. */
-    explicit holding_host(std::uint32_t slots, std::uint32_t memoryMb = 0);
+    explicit holding_host(std::uint32_t slots, std::uint32_t memoryMb = 0, clock_source bootClock = bootNow);
 
     /** Runs until `count` requests are held. @return False if it times out. */
     bool holds(std::size_t count);
