Change: The routes of a rank share a gate's slots instead of going by deadline alone

Calls have the earlier deadlines and may wait longer, so that a standing queue of calls had each request of drum-return refused at its arrival. Change: within a rank the next slot goes to the route with the fewest slots in use (max-min fairness), within a route to the earliest deadline; the expected wait counts the others only as far as they go first. Test: a flood of one kind of call leaves the others of its rank their slots.

--- a/src/admission/slot_queue_base.h
+++ b/src/admission/slot_queue_base.h
@@ -8,7 +8,6 @@
 
 #include <cstdint>
 #include <map>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +29,7 @@
     std::uint32_t rank = 0; ///< 0 is the most urgent.
     clock_ms deadline; ///< Point in time after which the answer is useless.
     clock_ms waitLimit; ///< Point in time until which the call may wait; then it is refused.
+    std::uint32_t group = 0; ///< Calls of one kind; the groups of a rank share the slots.
 };
 
 /** Decision on a call. */
@@ -49,9 +49,11 @@
 };
 
 /**
- * Priority queue for the slots of one backend server. Strict order: rank, then deadline, then arrival. A call that
- * can't expect a slot before its wait limit is refused on arrival. When the queue is full, the last waiting call is
- * refused. The number of slots is known, so only the mean run time is estimated. Not thread-safe; does no I/O.
+ * Priority queue for the slots of one backend server. Ranks are served in strict order. Within a rank the next slot goes
+ * to the group with the fewest slots in use (max-min fairness), so that a flood of one kind of call doesn't shut out the
+ * others; within a group the earliest deadline goes first. A call that can't expect a slot before its wait limit is
+ * refused on arrival. When the queue is full, the last call of the least urgent rank's longest group is refused. The
+ * number of slots is known, so only the mean run time is estimated. Not thread-safe; does no I/O.
  */
 class slot_queue
 {
@@ -83,7 +85,6 @@
 
 private:
     struct waiting_key {
-        std::uint32_t rank = 0;
         clock_ms deadline;
         std::uint64_t arrival = 0;
 
@@ -95,11 +96,31 @@
         clock_ms since;
     };
 
+    /** Where a waiting call is found. */
+    struct waiting_place {
+        std::uint32_t rank = 0;
+        std::uint32_t group = 0;
+        waiting_key key;
+    };
+
+    struct running_call {
+        clock_ms admittedAt;
+        std::uint32_t group = 0;
+    };
+
+    using group_queue = std::map<waiting_key, waiter>; ///< Never empty.
+    using rank_queue = std::map<std::uint32_t, group_queue>; ///< By group; never empty.
+
     void admit(const slot_request &request, clock_ms since, clock_ms now, std::vector<slot_decision> &decisions);
     void refuse(const slot_request &request, clock_ms since, outcome_reason reason, clock_ms now, std::vector<slot_decision> &decisions);
     void dispatch(clock_ms now, std::vector<slot_decision> &decisions);
+    void add(const waiting_place &place, const waiter &entry);
+    waiter take(const waiting_place &place);
+    waiting_place firstPlace() const;
+    waiting_place lastPlace() const;
+    std::uint32_t slotsInUse(std::uint32_t group) const;
     clock_ms expectedWait(std::size_t ahead) const;
-    std::size_t countAhead(const waiting_key &key) const;
+    std::size_t countAhead(const waiting_place &place) const;
 
     slot_queue_settings m_settings;
     bool m_isOpen = false;
@@ -107,9 +128,10 @@
     std::uint32_t m_limit = 0;
     double m_meanRun; ///< Milliseconds.
     std::uint64_t m_arrivals = 0;
-    std::map<waiting_key, waiter> m_waiting;
-    std::unordered_map<call_id, waiting_key> m_keys; ///< Keys of the waiting calls.
-    std::unordered_map<call_id, clock_ms> m_running; ///< Admitted calls with their time of admission.
+    std::map<std::uint32_t, rank_queue> m_waiting; ///< By rank.
+    std::unordered_map<call_id, waiting_place> m_places; ///< Of the waiting calls.
+    std::unordered_map<call_id, running_call> m_running; ///< Admitted calls.
+    std::unordered_map<std::uint32_t, std::uint32_t> m_inUse; ///< Slots in use by group.
 };
 
 } // namespace cicadamux
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -13,6 +13,7 @@
 {
 constexpr clock_ms responseGrace{150}; ///< After a call's deadline, so that the backend server can still report the time-out itself.
 constexpr clock_ms connectTimeout{400}; ///< The backend server is on this host, so a connect that takes longer means that it is down.
+constexpr std::size_t maxGroups = 2'048; ///< Routes that the queue tells apart.
 constexpr clock_ms defaultRetryAfter{300}; ///< Retry-After where no better estimate exists.
 
 bool isSuccess(unsigned status)
@@ -92,7 +93,7 @@
     gated->arrivedAt = now;
     gated->deadline = now + call.remaining;
     gated->responder = std::move(responder);
-    const slot_request request{gated->id, call.rank, gated->deadline, now + call.maxWait};
+    const slot_request request{gated->id, call.rank, gated->deadline, now + call.maxWait, groupOf(call.route)};
     gated->call = std::move(call);
     m_calls.emplace(gated->id, gated);
     m_queue.submit(request, now, m_decisions);
@@ -250,6 +251,19 @@
     m_isApplyingDecisions = false;
 }
 
+/** @return The queue's group for a route; routes beyond the bound share one. */
+std::uint32_t server_gate::groupOf(const std::string &route)
+{
+    const auto found = m_groups.find(route);
+    if (found != m_groups.end()) {
+        return found->second;
+    }
+    if (m_groups.size() >= maxGroups) {
+        return 0;
+    }
+    return m_groups.emplace(route, static_cast<std::uint32_t>(m_groups.size() + 1)).first->second;
+}
+
 /** Sends an admitted call, unless this process was suspended since its admission was decided. */
 void server_gate::sendOrRefuse(const call_pointer &call)
 {
--- a/src/sidecar/server_gate_base.h
+++ b/src/sidecar/server_gate_base.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -69,6 +70,7 @@
 
     void stateChanged(std::string_view why);
     void applyDecisions();
+    std::uint32_t groupOf(const std::string &route);
     void sendOrRefuse(const call_pointer &call);
     void send(const call_pointer &call);
     http_request forwardedRequest(const gated_call &call) const;
@@ -90,6 +92,7 @@
     std::vector<slot_decision> m_decisions; ///< Not applied yet.
     bool m_isApplyingDecisions = false;
     std::uint64_t m_lastId = 0;
+    std::map<std::string, std::uint32_t, std::less<>> m_groups; ///< Groups of the queue, one for each route.
     running_calls m_running;
     run_times m_runTimes;
 };
--- a/tests/unit/slot_queue_test.cpp
+++ b/tests/unit/slot_queue_test.cpp
@@ -7,8 +7,10 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
 #include <set>
+#include <utility>
 
 using namespace cicadamux;
 using namespace cicadamux::test;
@@ -89,6 +91,53 @@
     CHECK(find(decisions, 2) == nullptr);
 }
 
+TEST_CASE("a flood of one kind of call leaves the others of its rank their slots (a route starved by the calls of another)")
+{
+    constexpr std::uint32_t slots = 41; // One is reserved.
+    constexpr std::uint32_t flood = 1;
+    constexpr std::uint32_t rare = 2;
+    constexpr int steps = 5'000; // Milliseconds.
+    slot_queue_settings settings;
+    settings.initialMeanRun = {30};
+    slot_queue queue(settings);
+    std::vector<slot_decision> decisions;
+    clock_ms now = start;
+    queue.setSlots(slots, now, decisions);
+    std::uint64_t next = 0;
+    std::map<std::uint64_t, std::uint32_t> groups;
+    std::multimap<clock_ms, std::uint64_t> ends;
+    std::map<std::uint32_t, int> asked;
+    std::map<std::uint32_t, int> served;
+    const auto submit = [&](std::uint32_t group, std::int64_t timeLeft, std::int64_t wait) {
+        groups[++next] = group;
+        ++asked[group];
+        queue.submit({call_id{next}, 1, now + clock_ms{timeLeft}, now + clock_ms{wait}, group}, now, decisions);
+    };
+    for (int step = 0; step < steps; ++step) {
+        now += clock_ms{1};
+        submit(flood, 700, 110); // Two a millisecond of 30 ms each: half more than the slots can run, with early deadlines.
+        submit(flood, 700, 110);
+        if (step % 40 == 0) {
+            submit(rare, 800, 37); // Works 96 ms and may wait an eighth of its target.
+        }
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const std::uint64_t ended = ends.begin()->second;
+            ends.erase(ends.begin());
+            queue.finish(call_id{ended}, true, now, decisions);
+        }
+        queue.tick(now, decisions);
+        for (const slot_decision &decision : std::exchange(decisions, {})) {
+            if (decision.admitted) {
+                const std::uint32_t group = groups[decision.call.value];
+                ++served[group];
+                ends.emplace(now + clock_ms{group == flood ? 30 : 96}, decision.call.value);
+            }
+        }
+    }
+    CHECK(served[rare] == asked[rare]);
+    CHECK(served[flood] > asked[flood] / 2); // Of two thirds that fit.
+}
+
 TEST_CASE("random commands keep the limit the order of ranks and one decision for each call")
 {
     const invariant_guard guard;
@@ -108,7 +157,13 @@
             decisions.clear();
             if (random() % 2 == 0 || running.empty()) {
                 ++next;
-                queue.submit({call_id{next}, static_cast<std::uint32_t>(random() % 3), now + clock_ms{500}, now + clock_ms{100}}, now, decisions);
+                queue.submit({call_id{next},
+                              static_cast<std::uint32_t>(random() % 3),
+                              now + clock_ms{500},
+                              now + clock_ms{100},
+                              static_cast<std::uint32_t>(random() % 4)},
+                             now,
+                             decisions);
             } else {
                 const std::size_t index = random() % running.size();
                 const call_id ended = running[index];
