Change: The directory reads the store less often, and may read old data

The configuration and the departures are read fresh. What a caller sees: a new host gets requests up to about a second later than before; one that leaves or dies shows by its link as before.

--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -15,10 +15,9 @@
 
 namespace
 {
-constexpr std::string_view directoryKind = "cicadamux-hosts"; ///< Kind of the store objects; the name is the host's.
 constexpr clock_ms watchTimeout{30'000}; ///< The platform's maximum; entries change rarely, and each watch is charged.
-constexpr clock_ms startupWatchPause{400}; ///< After a watch that returned changes, during startupPeriod: starting hosts all write within a second.
-constexpr clock_ms steadyWatchPause{1'500}; ///< The same after startupPeriod: batches a series of hosts that join or leave into few watches of each other host.
+constexpr clock_ms startupWatchPause{1'200}; ///< Before the next watch, during startupPeriod: hosts that start together write their entries within a second.
+constexpr clock_ms steadyWatchPause{2'500}; ///< The same after startupPeriod: batches a series of hosts that join or leave into few watches of each other host.
 constexpr clock_ms startupPeriod{3'000}; ///< After this host's start: time in which hosts that start with it write their entries.
 constexpr clock_ms introductionDelay{600}; ///< By then a starting host has usually got its configuration from the store.
 constexpr clock_ms introductionInterval{1'000}; ///< Minimum time between introductions to the same host.
@@ -66,7 +65,7 @@
     , m_hooks(std::move(hooks))
 {
     object_mirror_settings settings;
-    settings.kind = directoryKind;
+    settings.kind = hostDirectoryKind;
     settings.wait = watchTimeout;
     settings.pause = startupWatchPause;
     auto changed = [this](const std::map<std::string, stored_object> &objects) {
@@ -294,7 +293,7 @@
             continue;
         }
         known.removeAt = drawRemovalTime();
-        m_store.remove(directoryKind, host, object->second.version, [peer = std::string(host)](const store_result<std::uint64_t> &result) {
+        m_store.remove(hostDirectoryKind, host, object->second.version, [peer = std::string(host)](const store_result<std::uint64_t> &result) {
             logEvent(log_level::info, "host_forgotten", {{"peer", peer}, {"result", toString(result.failure)}});
         });
     }
@@ -361,7 +360,7 @@
     }
     m_isWriting = true;
     m_nextWrite = now + writeRetryDelay;
-    m_store.put(directoryKind, m_own.host, formatHostEntry(m_own), m_ownVersion, [this](const store_result<std::uint64_t> &result) {
+    m_store.put(hostDirectoryKind, m_own.host, formatHostEntry(m_own), m_ownVersion, [this](const store_result<std::uint64_t> &result) {
         m_isWriting = false;
         if (result.failure == store_failure::none) {
             m_ownIsCurrent = true;
@@ -381,7 +380,7 @@
     if (std::exchange(m_isLeaving, true) || m_ownVersion == 0) {
         return;
     }
-    m_store.remove(directoryKind, m_own.host, m_ownVersion, [](const store_result<std::uint64_t> &result) {
+    m_store.remove(hostDirectoryKind, m_own.host, m_ownVersion, [](const store_result<std::uint64_t> &result) {
         logEvent(log_level::info, "own_entry_removed", {{"result", toString(result.failure)}});
     });
 }
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -15,6 +15,8 @@
 namespace cicadamux
 {
 
+constexpr std::string_view hostDirectoryKind = "cicadamux-hosts"; ///< Kind of the hosts' entries in the store; the name is the host's.
+
 /** Entry of a host in the store. */
 struct host_entry {
     std::string host;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -41,6 +41,12 @@
     return settings;
 }
 
+/** The directory may be old: watches catch up, and a host that is gone shows by its link. The configuration and departures may not. */
+store_options storeOptions()
+{
+    return {{std::string(hostDirectoryKind)}};
+}
+
 /** @return Bytes that requests and responses may take together. */
 std::size_t heldBytesLimit(std::uint32_t memoryMb)
 {
@@ -67,7 +73,7 @@
 sidecar::sidecar(boost::asio::io_context &context, const daemon_settings &settings, const sidecar_adapter &adapter, clock_source bootClock)
     : m_context(context)
     , m_core(context, settings, adapter, std::move(bootClock))
-    , m_store(adapter.makeStore(context, settings.platformAddress))
+    , m_store(adapter.makeStore(context, settings.platformAddress, storeOptions()))
     , m_gate(m_core)
     , m_directory(m_core, m_store, {settings.host, settings.dataCenter, settings.backendService, settings.peerAddress}, directoryHooks())
     , m_configuration(m_core,
@@ -363,7 +369,7 @@
 
 void sidecar::replaceStore()
 {
-    m_store.replace(m_core.adapter.makeStore(m_context, m_core.settings.platformAddress));
+    m_store.replace(m_core.adapter.makeStore(m_context, m_core.settings.platformAddress, storeOptions()));
     m_configuration.refresh();
     m_directory.refresh();
 }
--- a/src/sidecar/sidecar_adapter_type.h
+++ b/src/sidecar/sidecar_adapter_type.h
@@ -64,7 +64,7 @@
     std::function<route_configuration(std::string_view text)> readConfiguration; ///< @throws decode_error
     /** @return Nothing if the request is no such message. @throws decode_error if its content is invalid. */
     std::function<std::optional<server_message>(const http_request &request)> readServerMessage;
-    std::function<std::unique_ptr<object_store>(boost::asio::io_context &context, const std::string &address)> makeStore;
+    std::function<std::unique_ptr<object_store>(boost::asio::io_context &context, const std::string &address, const store_options &options)> makeStore;
 };
 
 } // namespace cicadamux
--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -70,7 +70,17 @@
     m_objects.clear();
     apply(result.value);
     m_changed(m_objects);
-    watch();
+    watchAfterPause();
+}
+
+/** A pause lets further changes gather, so that one watch returns them together. */
+void object_mirror::watchAfterPause()
+{
+    if (m_settings.pause.count > 0) {
+        runAfter(m_settings.pause, &object_mirror::watch);
+    } else {
+        watch();
+    }
 }
 
 void object_mirror::watch()
@@ -97,9 +107,7 @@
     apply(result.value);
     if (isChanged) {
         m_changed(m_objects);
-    }
-    if (isChanged && m_settings.pause.count > 0) {
-        runAfter(m_settings.pause, &object_mirror::watch);
+        watchAfterPause();
     } else {
         watch();
     }
--- a/src/store/object_mirror_base.h
+++ b/src/store/object_mirror_base.h
@@ -20,7 +20,7 @@
 struct object_mirror_settings {
     std::string kind;
     clock_ms wait{10'000}; ///< Duration of one watch call; each counts against the call budget.
-    clock_ms pause{0}; ///< Delay after a watch that returned changes, so that a burst of changes takes few calls.
+    clock_ms pause{0}; ///< Delay after a list and after a watch that returned changes, so that a burst of changes takes few calls.
     clock_ms initialBackoff{100}; ///< Delay after a failure; doubles with each further one.
     clock_ms maxBackoff{1'000}; ///< Shorter than the time in which an expired entry has to be restored after an outage.
 };
@@ -50,6 +50,7 @@
     void list();
     void listed(const store_result<store_changes> &result);
     void watch();
+    void watchAfterPause();
     void watched(const store_result<store_changes> &result);
     void apply(const store_changes &changes);
     void retry(store_failure failure);
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -61,6 +61,11 @@
 template<typename Value>
 using store_handler = std::function<void(store_result<Value>)>;
 
+/** How a client of the store reads. */
+struct store_options {
+    std::vector<std::string> staleKinds; ///< Kinds whose lists and watches may be some seconds old, which costs the store less.
+};
+
 /**
  * The platform's object store. Calls return immediately; the handler is called once, later, on one of the daemon's threads.
  */
--- a/tests/unit/sidecar_fleet_fake.cpp
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -99,7 +99,7 @@
         return m_configurations.at(std::string(text));
     };
     adapter.readServerMessage = readMessage;
-    adapter.makeStore = [this](boost::asio::io_context &, const std::string &) {
+    adapter.makeStore = [this](boost::asio::io_context &, const std::string &, const store_options &) {
         ++storesMade;
         return std::make_unique<platform_client>(platform);
     };
