Change: Only a host that restarts reads its departure record

Cause: each start read the record, also on hosts that have never run: 95 store calls when a fleet starts. Change: it is read when the first listing of the directory holds this host's own entry. Result: the tests of departures and of the directory pass.

--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -87,7 +87,7 @@
 
 void host_directory::applyEntries(const std::map<std::string, stored_object> &objects)
 {
-    m_hasListing = true;
+    const bool isFirst = !std::exchange(m_hasListing, true);
     std::map<std::string, host_entry> entries;
     for (const auto &[name, object] : objects) {
         const std::optional<host_entry> entry = parseHostEntry(object.value);
@@ -99,6 +99,9 @@
     }
     const auto own = objects.find(m_own.host);
     m_ownVersion = own == objects.end() ? 0 : own->second.version;
+    if (isFirst && m_ownVersion != 0) {
+        m_hooks.restarted();
+    }
     m_ownIsCurrent = entries.contains(m_own.host) && entries[m_own.host] == m_own;
     entries.erase(m_own.host);
     for (auto known = m_hosts.begin(); known != m_hosts.end();) {
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -40,6 +40,7 @@
     std::function<void(configuration_offer offer)> configurationOffered;
     std::function<configuration_offer()> configuration; ///< Returns the configuration in force here, for hosts that have none.
     std::function<void(std::uint64_t version, const std::string &host)> remoteVersionSeen; ///< A host has this newer version in force.
+    std::function<void()> restarted; ///< The first listing holds this host's entry, so an earlier process wrote it.
 };
 
 /** Maintains this host's entry in the store, reads the other entries, and keeps a link to each host. Used by one thread. */
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -104,7 +104,6 @@
     startListeners();
     m_configuration.start();
     m_directory.start();
-    m_departures->start();
     tick();
     logEvent(log_level::info,
              "sidecar_started",
@@ -204,6 +203,9 @@
     hooks.remoteVersionSeen = [this](std::uint64_t version, const std::string &host) {
         m_configuration.noteRemoteVersion(version, host);
     };
+    hooks.restarted = [this] {
+        m_departures->start();
+    };
     return hooks;
 }
 
--- a/tests/unit/host_directory_test.cpp
+++ b/tests/unit/host_directory_test.cpp
@@ -87,6 +87,7 @@
         return configuration_offer();
     };
     hooks.remoteVersionSeen = [](std::uint64_t, const std::string &) {};
+    hooks.restarted = [] {};
     return hooks;
 }
 
