Change: Probes of a host stay flat while the fleet grows, and a silent host has its data centre probed

Yet a cut was noticed only at each link's own next probe. Change: a host sends 40 probes a second in all (a period of 1 to 5 s); a link that becomes suspect or breaks has the other hosts of its data centre probed at once; a host announces to its peers that its backend server or itself leaves, instead of waiting for their probes; hosts without a configuration are probed each second as before.

--- a/src/link/host_link.cpp
+++ b/src/link/host_link.cpp
@@ -13,6 +13,11 @@
 using boost::asio::ip::tcp;
 using detail::toChrono;
 
+namespace
+{
+constexpr clock_ms recentlyHeard{200}; ///< A peer heard from this recently needs no extra probe.
+} // namespace
+
 host_link::host_link(boost::asio::io_context &context, std::string address, const host_link_settings &settings, host_link_hooks hooks)
     : m_context(context)
     , m_address(std::move(address))
@@ -215,11 +220,28 @@
     const bool isSilent = m_unansweredSince && now - *m_unansweredSince > clock_ms{m_settings.suspectAfter.count / 2};
     const clock_ms period = isSilent ? clock_ms{m_settings.suspectAfter.count / 2} : m_settings.probePeriod;
     if (now - m_lastProbe >= period) {
-        m_lastProbe = now;
-        if (!m_unansweredSince) {
-            m_unansweredSince = now;
-        }
-        m_stream->send(link_probe{});
+        sendProbe(now);
+    }
+}
+
+void host_link::sendProbe(clock_ms now)
+{
+    m_lastProbe = now;
+    if (!m_unansweredSince) {
+        m_unansweredSince = now;
+    }
+    m_stream->send(link_probe{});
+}
+
+void host_link::setProbePeriod(clock_ms period)
+{
+    m_settings.probePeriod = period;
+}
+
+void host_link::probeNow(clock_ms now)
+{
+    if (isUsable() && !m_unansweredSince && now - m_stream->lastReceived() > recentlyHeard) {
+        sendProbe(now);
     }
 }
 
--- a/src/link/host_link_base.h
+++ b/src/link/host_link_base.h
@@ -79,6 +79,12 @@
     /** Sends probes and detects a silent peer. Must be called a few times a second. */
     void tick(clock_ms now);
 
+    /** Sets the interval of probes. */
+    void setProbePeriod(clock_ms period);
+
+    /** Sends a probe now unless something was received just before or a reply is outstanding. */
+    void probeNow(clock_ms now);
+
     link_health health() const;
     const std::string &address() const;
 
@@ -94,6 +100,7 @@
     void connect();
     void connected(boost::asio::ip::tcp::socket socket);
     void handshakeCompleted();
+    void sendProbe(clock_ms now);
     bool isUsable() const;
     void received(link_message message);
     void disconnected(std::string_view why);
--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -52,6 +52,13 @@
         cancelAll();
     }
 
+    void announce(const host_report &report)
+    {
+        if (m_handshake.isComplete() && !m_isClosed) {
+            m_stream->send(report);
+        }
+    }
+
 private:
     void received(link_message message)
     {
@@ -218,6 +225,14 @@
     return detail::formatEndpoint(m_state->acceptor.local_endpoint());
 }
 
+void link_server::announce(const host_report &report)
+{
+    const auto links = m_state->links; // A failed write removes its link.
+    for (const auto &link : links) {
+        link->announce(report);
+    }
+}
+
 void link_server::closeLinks()
 {
     m_state->closeLinks();
--- a/src/link/link_server_base.h
+++ b/src/link/link_server_base.h
@@ -45,6 +45,9 @@
     /** @return The bound address as `IP:port`. */
     std::string boundAddress() const;
 
+    /** Sends this host's report to all peers, after a change that they shouldn't learn only by their next probe. */
+    void announce(const host_report &report);
+
     /** Closes all links and cancels their calls. */
     void closeLinks();
 
--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -24,6 +24,9 @@
 constexpr std::uint64_t meanIntroducers = 4; ///< Mean number of hosts that introduce the fleet to a starting host; more than one, since a message may be lost.
 constexpr clock_ms removalDelay{60'000}; ///< Time without a link after which a host's entry is removed; a live host writes it again.
 constexpr double minReachableShare = 0.5; ///< With fewer hosts reachable, this host assumes that it is itself cut off and removes no entries.
+constexpr clock_ms minProbePeriod{1'000};
+constexpr clock_ms maxProbePeriod{5'000}; ///< A link that carries no calls is found dead after this and the time-out of a probe.
+constexpr std::int64_t probesPerSecond = 40; ///< Probes of this host to all others together, as long as the bounds on the period allow it.
 constexpr clock_ms writeRetryDelay{700}; ///< Minimum time between writes of this host's entry.
 
 std::string readText(const json::object &object, std::string_view key)
@@ -121,10 +124,40 @@
             add(entry);
         }
     }
+    setProbePeriods();
     m_hooks.changed();
     writeOwnEntry(steadyNow());
 }
 
+/** Keeps the cost of probes of one host flat while the fleet grows. */
+void host_directory::setProbePeriods()
+{
+    constexpr std::int64_t second = 1'000; // Milliseconds.
+    const clock_ms byCount{static_cast<std::int64_t>(m_hosts.size()) * second / probesPerSecond};
+    m_probePeriod = std::clamp(byCount, minProbePeriod, maxProbePeriod);
+    for (const auto &[host, known] : m_hosts) {
+        setProbePeriod(known);
+    }
+}
+
+/** A host without a configuration is probed often, since its reports tell whether it needs an introduction. */
+void host_directory::setProbePeriod(const known_host &known) const
+{
+    const bool isConfigured = !known.report || known.report->configurationVersion > 0;
+    known.link->setProbePeriod(isConfigured ? m_probePeriod : minProbePeriod);
+}
+
+/** One host that falls silent may mean that its data centre is cut off, so the others there are probed without waiting for their turn. */
+void host_directory::probeDataCenter(std::string_view dataCenter)
+{
+    const clock_ms now = steadyNow();
+    for (const auto &[host, known] : m_hosts) {
+        if (known.entry.dataCenter == dataCenter) {
+            known.link->probeNow(now);
+        }
+    }
+}
+
 void host_directory::add(const host_entry &entry)
 {
     logEvent(log_level::info, "host_found", {{"peer", entry.host}, {"address", entry.linkAddress}, {"service", entry.service}});
@@ -170,7 +203,11 @@
     if (!known.report || known.report->server != report.server) {
         known.servingSince = steadyNow();
     }
+    const bool wasConfigured = !known.report || known.report->configurationVersion > 0;
     known.report = report;
+    if (wasConfigured != (report.configurationVersion > 0)) {
+        setProbePeriod(known);
+    }
     if (!report.runs.empty()) {
         known.runs.clear();
         for (const route_run &run : report.runs) {
@@ -245,6 +282,9 @@
     if (health != known.health) {
         known.health = health;
         known.removeAt = drawRemovalTime();
+        if (health != link_health::up) {
+            probeDataCenter(known.entry.dataCenter);
+        }
         m_hooks.linkChanged(host, health);
     }
 }
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -103,6 +103,9 @@
     void writeOwnEntry(clock_ms now);
     static clock_ms drawRemovalTime();
     void removeUnreachable(clock_ms now);
+    void setProbePeriods();
+    void setProbePeriod(const known_host &known) const;
+    void probeDataCenter(std::string_view dataCenter);
 
     sidecar_core &m_core;
     object_store &m_store;
@@ -117,6 +120,7 @@
     bool m_isLeaving = false;
     clock_ms m_nextWrite;
     clock_ms m_startedAt;
+    clock_ms m_probePeriod{1'000}; ///< Of links to configured hosts.
 };
 
 } // namespace cicadamux
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -381,7 +381,9 @@
     const clock_ms now = steadyNow();
     std::vector<upstream> upstreams = m_directory.upstreams(now);
     const known_server &server = m_gate.server();
-    m_gateState = server.state;
+    if (std::exchange(m_gateState, server.state) != server.state) {
+        m_links->announce(m_gate.report());
+    }
     upstream own;
     own.service = m_core.settings.backendService;
     own.host = m_core.settings.host;
@@ -468,6 +470,7 @@
              "sidecar_leaving",
              {{"requests", static_cast<std::uint64_t>(m_entry.openCount())}, {"calls", static_cast<std::uint64_t>(m_gate.callCount())}});
     m_core.stopping = true;
+    m_links->announce(m_gate.report());
     m_stoppingSince = steadyNow();
     m_stopped = std::move(done);
     if (m_gate.server().state == server_state::absent && !m_gate.server().id.empty()) {
--- a/tests/unit/host_directory_test.cpp
+++ b/tests/unit/host_directory_test.cpp
@@ -7,6 +7,9 @@
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
+#include <array>
+#include <memory>
+
 using namespace cicadamux;
 using cicadamux::test::freeAddress;
 
@@ -164,3 +167,77 @@
     CHECK(store.removed.empty());
     directory.stop();
 }
+
+namespace
+{
+/** A directory of many hosts in one data centre, two of which answer probes and count them. */
+struct large_directory {
+    large_directory()
+        : directory(core, store, makeEntry("host-0"), makeHooks())
+    {
+        store_changes listed;
+        listed.cursor = 7;
+        for (int host = 1; host <= hostCount; ++host) {
+            host_entry entry = makeEntry("host-" + std::to_string(host));
+            if (host <= 2) {
+                entry.linkAddress = servers[static_cast<std::size_t>(host - 1)]->boundAddress();
+            }
+            listed.items.push_back({"kind", entry.host, 5, formatHostEntry(entry)});
+        }
+        directory.start();
+        store.listing({store_failure::none, 0, listed});
+    }
+
+    std::unique_ptr<link_server> makeServer(int &probes)
+    {
+        link_server_hooks hooks = makeNewHost(introductions);
+        hooks.report = [&probes] {
+            ++probes;
+            host_report report;
+            report.configurationVersion = 1;
+            return report;
+        };
+        return std::make_unique<link_server>(context, "127.0.0.1:0", 1'000'000, std::move(hooks));
+    }
+
+    void runFor(int milliseconds)
+    {
+        constexpr int step = 50;
+        for (int elapsed = 0; elapsed < milliseconds; elapsed += step) {
+            context.restart();
+            context.run_for(std::chrono::milliseconds(step));
+            directory.tick(steadyNow());
+        }
+    }
+
+    static constexpr int hostCount = 200;
+    boost::asio::io_context context;
+    int introductions = 0;
+    std::array<int, 2> probes{};
+    std::array<std::unique_ptr<link_server>, 2> servers{makeServer(probes[0]), makeServer(probes[1])};
+    sidecar_core core{context, makeSettings(), makeAdapter()};
+    silent_store store;
+    host_directory directory;
+};
+} // namespace
+
+TEST_CASE("in a large fleet an idle link is probed seldom (probes of a host stay flat while the fleet grows)")
+{
+    large_directory hosts;
+    hosts.runFor(600);
+    CHECK(hosts.probes[0] == 1); // At the start of the link.
+    hosts.runFor(2'500);
+    CHECK(hosts.probes[0] == 1);
+    hosts.directory.stop();
+}
+
+TEST_CASE("when one host falls silent the others of its data centre are probed at once (a data centre that is cut off)")
+{
+    large_directory hosts;
+    hosts.runFor(600);
+    REQUIRE(hosts.probes[1] == 1);
+    hosts.servers[0]->stop();
+    hosts.runFor(300);
+    CHECK(hosts.probes[1] == 2);
+    hosts.directory.stop();
+}
--- a/tests/unit/link_test.cpp
+++ b/tests/unit/link_test.cpp
@@ -154,6 +154,25 @@
     CHECK(pair.serverOffered->version == 4);
 }
 
+TEST_CASE("an announced report arrives without a probe")
+{
+    linked_pair pair;
+    REQUIRE(pair.runUntil([&] {
+        return pair.link->health() == link_health::up && pair.reported;
+    }));
+    pair.link->setProbePeriod({60'000});
+    pair.reported.reset();
+    host_report report;
+    report.limit = 9;
+    report.leaving = true;
+    pair.server->announce(report);
+    REQUIRE(pair.runUntil([&] {
+        return pair.reported.has_value();
+    }));
+    CHECK(pair.reported->limit == 9);
+    CHECK(pair.reported->leaving);
+}
+
 TEST_CASE("a cancelled call is cancelled at the gate; one whose link breaks may have run (REFUSED)")
 {
     linked_pair pair;
