Fix: Only a departure or draining is recorded as one

Cause, found by reading the change again: a late heartbeat of a server that couldn't be reached was recorded as its departure, as its state is the same; after a restart of the sidecar the server would not have been used any more. Change: the record is written for a departure message or a draining server, of the incarnation that it names.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -252,8 +252,9 @@
         exchange->respond(makeJsonResponse(http_status::ok, "{}"));
     };
     const known_server &server = m_gate.server();
-    const bool isKnown = announced.id == server.id;
-    if (isKnown && server.state != server_state::serving) {
+    const bool isKnown = announced.id == server.id && (!announced.startedAt || *announced.startedAt == server.startedAt);
+    const bool hasLeft = message.isDeparture || server.state == server_state::draining;
+    if (isKnown && hasLeft) {
         m_departures->record({server.id, server.startedAt}, std::move(acknowledge));
     } else if (message.isDeparture && server.id.empty()) { // This sidecar has restarted since the server's last heartbeat.
         m_departures->record({announced.id, announced.startedAt}, std::move(acknowledge));
--- a/tests/unit/sidecar_resilience_test.cpp
+++ b/tests/unit/sidecar_resilience_test.cpp
@@ -192,6 +192,28 @@
     }
 }
 
+TEST_CASE("a late heartbeat of a server that can't be reached is no departure and the server is used again after a restart")
+{
+    two_hosts hosts(false);
+    auto &[fleet, entry, target] = hosts;
+    const std::string address = target.server->address();
+    target.server->stop();
+    CHECK(fleet.call(target, "/feebox/").message.status == 503);
+    target.sequence = 0;
+    fleet.beat(target, "i-1", 4); // The sequence number of an earlier heartbeat.
+    fleet.runFor(clock_ms{50});
+    CHECK_FALSE(fleet.platform.holds("cicadamux-departures", "host-2"));
+    fleet.restart(target);
+    target.server = std::make_unique<test::http_server>(fleet.context, address, [&target](const std::shared_ptr<test::http_exchange> &exchange) {
+        target.served.push_back(exchange->request());
+        sidecar_fleet::answerWell(exchange);
+    });
+    target.sequence = 5;
+    fleet.beat(target, "i-1", 4);
+    REQUIRE(fleet.ready());
+    CHECK(fleet.call(target, "/feebox/").message.status == 200);
+}
+
 TEST_CASE("a departure is acknowledged while the store is away and recorded once it is back")
 {
     two_hosts hosts(false);
