--- a/tests/unit/sidecar_resilience_test.cpp
+++ b/tests/unit/sidecar_resilience_test.cpp
@@ -204,8 +204,8 @@
     fleet.runFor(clock_ms{50});
     CHECK_FALSE(fleet.platform.holds("cicadamux-departures", "host-2"));
     fleet.restart(target);
-    target.server = std::make_unique<test::http_server>(fleet.context, address, [&target](const std::shared_ptr<test::http_exchange> &exchange) {
-        target.served.push_back(exchange->request());
+    target.server = std::make_unique<test::http_server>(fleet.context, address, [&hosts](const std::shared_ptr<test::http_exchange> &exchange) {
+        hosts.target.served.push_back(exchange->request());
         sidecar_fleet::answerWell(exchange);
     });
     target.sequence = 5;
