Add: The log says what rate a backend server states and how many calls it gets

Change: the gate reads the two new headers and logs each change (server_notice) and, while a rate is stated, the calls sent each second (server_pace). No decision uses them yet.

--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -15,6 +15,7 @@
 constexpr clock_ms connectTimeout{400}; ///< The backend server is on this host, so a connect that takes longer means that it is down.
 constexpr std::size_t maxGroups = 2'048; ///< Routes that the queue tells apart.
 constexpr clock_ms defaultRetryAfter{300}; ///< Retry-After where no better estimate exists.
+constexpr clock_ms paceLogPeriod{1'000};
 
 bool isSuccess(unsigned status)
 {
@@ -119,6 +120,7 @@
     const bool isChanged = before.id != after.id || before.startedAt != after.startedAt || before.state != after.state || before.slots != after.slots;
     if (before.id != after.id || before.startedAt != after.startedAt) {
         m_runTimes.clear();
+        m_notice = {};
     }
     if (verdict == heartbeat_verdict::accepted && isChanged) {
         stateChanged("heartbeat");
@@ -157,8 +159,29 @@
 
 void server_gate::tick()
 {
-    m_queue.tick(steadyNow(), m_decisions);
+    const clock_ms now = steadyNow();
+    m_queue.tick(now, m_decisions);
     applyDecisions();
+    logPace(now);
+}
+
+/** Logs how many calls a backend server that states a rate gets. */
+void server_gate::logPace(clock_ms now)
+{
+    if (now - m_paceLoggedAt < paceLogPeriod) {
+        return;
+    }
+    if (m_notice.rate != rate_statement::none) {
+        logEvent(log_level::info,
+                 "server_pace",
+                 {{"server", m_registry.current().id},
+                  {"max_rate", std::to_string(m_notice.maxRate)},
+                  {"sent", m_sent},
+                  {"for_ms", (now - m_paceLoggedAt).count},
+                  {"waiting", m_queue.snapshot().waiting}});
+    }
+    m_sent = 0;
+    m_paceLoggedAt = now;
 }
 
 void server_gate::handleStall(const stall &found)
@@ -295,6 +318,7 @@
 {
     checkInvariant(m_registry.current().state == server_state::serving, invariant::draining_idle, "call sent to a backend server that is not serving");
     call->isRunning = true;
+    ++m_sent;
     call->sentAt = steadyNow();
     m_running.add(call->id, call->deadline, call->call.repeatWeight);
     call->serverId = m_registry.current().id;
@@ -335,6 +359,9 @@
     call->transport = result.failure;
     const bool isUnreachable = result.failure == http_failure::no_connection;
     const bool wasRun = result.failure == http_failure::none && !findHeader(result.response.headers, m_core.adapter.headers.notExecuted);
+    if (result.failure == http_failure::none) {
+        readNotice(*call, result.response);
+    }
     link_reply reply = classifyResult(*call, std::move(result));
     if (reply.outcome == call_outcome::answered && isSuccess(reply.status)) {
         m_runTimes.record(call->call.route, steadyNow() - call->sentAt, steadyNow());
@@ -346,6 +373,21 @@
     }
 }
 
+/** Takes note of what the current backend server states about itself. */
+void server_gate::readNotice(const gated_call &call, const http_response &response)
+{
+    if (call.serverId != m_registry.current().id) {
+        return;
+    }
+    const server_notice notice = readServerNotice(response.headers, m_core.adapter.headers);
+    if (notice.rate != m_notice.rate || notice.maxRate != m_notice.maxRate || notice.leaving != m_notice.leaving) {
+        logEvent(log_level::info,
+                 "server_notice",
+                 {{"server", call.serverId}, {"rate", toString(notice.rate)}, {"max_rate", std::to_string(notice.maxRate)}, {"leaving", notice.leaving}, {"request", call.call.requestId}});
+    }
+    m_notice = notice;
+}
+
 link_reply server_gate::classifyResult(const gated_call &call, http_result result)
 {
     link_reply reply;
--- a/src/sidecar/server_gate_base.h
+++ b/src/sidecar/server_gate_base.h
@@ -7,6 +7,7 @@
 #include "link/link_server_base.h"
 #include "routing/run_times_base.h"
 #include "sidecar/running_calls_base.h"
+#include "sidecar/server_notice_func.h"
 #include "sidecar/server_registry_base.h"
 #include "sidecar/sidecar_core_type.h"
 
@@ -76,6 +77,8 @@
     http_request forwardedRequest(const gated_call &call) const;
     void handleResult(const call_pointer &call, http_result result);
     link_reply classifyResult(const gated_call &call, http_result result);
+    void readNotice(const gated_call &call, const http_response &response);
+    void logPace(clock_ms now);
     void finish(const call_pointer &call, bool wasRun, link_reply reply);
     void armTimeout(const call_pointer &call);
     void handleTimeout(const call_pointer &call);
@@ -95,6 +98,9 @@
     std::map<std::string, std::uint32_t, std::less<>> m_groups; ///< Groups of the queue, one for each route.
     running_calls m_running;
     run_times m_runTimes;
+    server_notice m_notice; ///< Last one of the current backend server.
+    std::uint32_t m_sent = 0; ///< Calls sent to the backend server since the last log of its pace.
+    clock_ms m_paceLoggedAt;
 };
 
 } // namespace cicadamux
--- a/src/sidecar/sidecar_adapter_type.h
+++ b/src/sidecar/sidecar_adapter_type.h
@@ -29,6 +29,8 @@
     std::string callerService; ///< Service of the host that received the request.
     std::string signature; ///< Proves that a backend server made the response.
     std::string notExecuted; ///< The backend server did not execute the request.
+    std::string serverRate; ///< Requests a second that the backend server takes from all hosts together.
+    std::string serverLeaving; ///< `1`: the backend server ends soon.
 };
 
 /** Limits that the platform sets for the whole fleet. */
