--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -383,7 +383,11 @@
     if (notice.rate != m_notice.rate || notice.maxRate != m_notice.maxRate || notice.leaving != m_notice.leaving) {
         logEvent(log_level::info,
                  "server_notice",
-                 {{"server", call.serverId}, {"rate", toString(notice.rate)}, {"max_rate", std::to_string(notice.maxRate)}, {"leaving", notice.leaving}, {"request", call.call.requestId}});
+                 {{"server", call.serverId},
+                  {"rate", toString(notice.rate)},
+                  {"max_rate", std::to_string(notice.maxRate)},
+                  {"leaving", notice.leaving},
+                  {"request", call.call.requestId}});
     }
     m_notice = notice;
 }
--- /dev/null
+++ b/tests/unit/server_limit_test.cpp
@@ -0,0 +1,91 @@
+/** @file server_limit_test.cpp Tests of backend servers that state in their answers the rate that they take. */
+
+#include "sidecar_fleet_fake.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace cicadamux;
+using namespace cicadamux::test;
+
+namespace
+{
+constexpr double statedRate = 4; ///< Requests a second.
+/** Requests that the server may get in four seconds: one and a half times its rate, and five. */
+constexpr std::size_t allowedInWindow = 29;
+
+served_handler answerWithRate(const std::string &rate)
+{
+    return [rate](const std::shared_ptr<test::http_exchange> &exchange) {
+        http_message answer = sidecar_fleet::goodAnswer(exchange->request());
+        answer.headers.push_back({"x-rate", rate});
+        exchange->answer(std::move(answer));
+    };
+}
+
+/** Sends requests for two seconds, many more than the stated rate. @return Their replies. */
+std::vector<std::shared_ptr<std::optional<http_reply>>> flood(sidecar_fleet &fleet, sidecar_host &entry)
+{
+    constexpr int requests = 100;
+    std::vector<std::shared_ptr<std::optional<http_reply>>> replies;
+    for (int sent = 0; sent < requests; ++sent) {
+        replies.push_back(fleet.send(entry, "/feebox/", clock_ms{5'000}));
+        fleet.runFor(clock_ms{20});
+    }
+    const bool areAnswered = fleet.eventually([&replies] {
+        return std::ranges::all_of(replies, [](const auto &reply) {
+            return reply->has_value();
+        });
+    });
+    CHECK(areAnswered);
+    return replies;
+}
+
+long countStatus(const std::vector<std::shared_ptr<std::optional<http_reply>>> &replies, unsigned status)
+{
+    return std::ranges::count_if(replies, [status](const auto &reply) {
+        return reply->has_value() && (*reply)->message.status == status;
+    });
+}
+} // namespace
+
+// A server got several times the rate that it stated, since its gate admitted by slots alone.
+TEST_CASE("a backend server gets no more requests than the rate that it states (LIMIT)")
+{
+    two_hosts hosts(true, answerWithRate(std::to_string(statedRate)));
+    auto &[fleet, entry, target] = hosts;
+    REQUIRE(fleet.call(entry, "/feebox/").message.status == 200);
+    const auto replies = flood(fleet, entry);
+    CHECK(target.served.size() <= allowedInWindow);
+    CHECK(countStatus(replies, 200) == static_cast<long>(target.served.size()) - 1);
+    CHECK(countStatus(replies, 503) == static_cast<long>(replies.size()) - countStatus(replies, 200));
+}
+
+// The host where a request begins is bound by the rate that it has passed on, also if the gate has forgotten it.
+TEST_CASE("a stated rate holds after the sidecar beside the backend server has restarted (LIMIT)")
+{
+    two_hosts hosts(true, answerWithRate(std::to_string(statedRate)));
+    auto &[fleet, entry, target] = hosts;
+    REQUIRE(fleet.call(entry, "/feebox/").message.status == 200);
+    target.serve
+        = [&fleet, answer = target.serve](const std::shared_ptr<test::http_exchange> &exchange) { // Slow, so that many requests arrive before an answer.
+              const auto timer = std::make_shared<boost::asio::steady_timer>(fleet.context, std::chrono::milliseconds(300));
+              timer->async_wait([timer, exchange, answer](boost::system::error_code) {
+                  answer(exchange);
+              });
+          };
+    fleet.restart(target);
+    fleet.beat(target, "i-1", 60);
+    REQUIRE(fleet.ready());
+    fleet.runFor(clock_ms{1'500}); // Until the link is up again; no answer has come since the restart.
+    const std::size_t before = target.served.size();
+    std::vector<std::shared_ptr<std::optional<http_reply>>> replies;
+    constexpr int requests = 60;
+    for (int sent = 0; sent < requests; ++sent) {
+        replies.push_back(fleet.send(entry, "/feebox/", clock_ms{5'000}));
+    }
+    fleet.runFor(clock_ms{1'500});
+    CHECK(target.served.size() > before);
+    CHECK(target.served.size() - before <= allowedInWindow);
+}
--- a/tests/unit/sidecar_fleet_fake.cpp
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -85,7 +85,7 @@
 sidecar_adapter sidecar_fleet::makeAdapter()
 {
     sidecar_adapter adapter;
-    adapter.headers = {"x-id", "x-deadline", "x-expected", "x-caller", "x-signature", "x-not-run"};
+    adapter.headers = {"x-id", "x-deadline", "x-expected", "x-caller", "x-signature", "x-not-run", "x-rate", "x-leaving"};
     adapter.readyPath = "/ready";
     adapter.configurationKind = "configuration";
     adapter.configurationName = "main";
