Fix: A backend server gets no more requests than the rate that it states (LIMIT)

Cause: the gate knew slots only. A server's own bound in a second unit, requests a second, was passed on to callers and read by nobody. Change: every request to a server passes its own gate, so that one token bucket there bounds the sum over all hosts. A call needs a slot and its turn; what can't expect its turn in time is refused as not run with the time of its turn, and the entry tries another host, without the retry budget since no server was reached. A rate near 0 still lets one request in two seconds through, since only an answer can state another rate. Unreadable values change nothing; only a signed answer without the header lifts the rate; a new incarnation starts without one.

--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -5,6 +5,7 @@
 #include "core/invariant_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cicadamux
@@ -23,6 +24,12 @@
     dispatch(now, decisions);
 }
 
+void slot_queue::setRate(std::optional<double> perSecond, clock_ms now, std::vector<slot_decision> &decisions)
+{
+    m_rate.set(perSecond, now);
+    dispatch(now, decisions);
+}
+
 void slot_queue::close(outcome_reason reason, clock_ms now, std::vector<slot_decision> &decisions)
 {
     m_isOpen = false;
@@ -48,12 +55,12 @@
         refuse(request, now, outcome_reason::deadline_passed, now, decisions);
         return;
     }
-    if (m_running.size() < m_limit && m_waiting.empty()) {
+    if (mayAdmit(now) && m_waiting.empty()) {
         admit(request, now, now, decisions);
         return;
     }
     const waiting_place place{request.rank, request.group, {request.deadline, ++m_arrivals}};
-    if (now + expectedWait(countAhead(place)) > request.waitLimit) {
+    if (now + expectedWait(countAhead(place), now) > request.waitLimit) {
         refuse(request, now, outcome_reason::overloaded, now, decisions);
         return;
     }
@@ -116,6 +123,7 @@
 {
     slot_snapshot result;
     result.limit = m_isOpen ? m_limit : 0;
+    result.usableLimit = m_isOpen ? usableLimit() : 0;
     result.inUse = static_cast<std::uint32_t>(m_running.size());
     result.waiting = static_cast<std::uint32_t>(m_places.size());
     result.meanRun = clock_ms{static_cast<std::int64_t>(m_meanRun)};
@@ -125,6 +133,7 @@
 void slot_queue::admit(const slot_request &request, clock_ms since, clock_ms now, std::vector<slot_decision> &decisions)
 {
     checkInvariant(m_running.size() < m_limit, invariant::limit_held, "a call was admitted beyond the available slots");
+    m_rate.take(now);
     m_running.emplace(request.call, running_call{now, request.group});
     ++m_inUse[request.group];
     decisions.push_back({request.call, true, outcome_reason::none, now - since, {}});
@@ -132,12 +141,12 @@
 
 void slot_queue::refuse(const slot_request &request, clock_ms since, outcome_reason reason, clock_ms now, std::vector<slot_decision> &decisions)
 {
-    decisions.push_back({request.call, false, reason, now - since, expectedWait(m_places.size())});
+    decisions.push_back({request.call, false, reason, now - since, expectedWait(m_places.size(), now)});
 }
 
 void slot_queue::dispatch(clock_ms now, std::vector<slot_decision> &decisions)
 {
-    while (m_isOpen && m_running.size() < m_limit && !m_waiting.empty()) {
+    while (m_isOpen && mayAdmit(now) && !m_waiting.empty()) {
         const waiter next = take(firstPlace());
         if (next.request.deadline - now < m_settings.minTimeLeft) {
             refuse(next.request, next.since, outcome_reason::queue_timeout, now, decisions);
@@ -195,13 +204,33 @@
     return found == m_inUse.end() ? 0 : found->second;
 }
 
+bool slot_queue::mayAdmit(clock_ms now) const
+{
+    return m_running.size() < m_limit && m_rate.isFree(now);
+}
+
+/** By Little's law a rate keeps as many slots in use as calls start during one run. */
+std::uint32_t slot_queue::usableLimit() const
+{
+    if (!m_rate.rate()) {
+        return m_limit;
+    }
+    constexpr double second = 1'000; // Milliseconds.
+    const double inUse = std::ceil(*m_rate.rate() * m_meanRun / second);
+    return static_cast<std::uint32_t>(std::clamp(inUse, 1.0, static_cast<double>(std::max<std::uint32_t>(1, m_limit))));
+}
+
 /** A slot becomes free about every meanRun / limit; the calls ahead take theirs first. */
-clock_ms slot_queue::expectedWait(std::size_t ahead) const
+clock_ms slot_queue::expectedWait(std::size_t ahead, clock_ms now) const
 {
+    const clock_ms byRate = m_rate.wait(ahead, now);
     if (m_limit == 0) {
-        return clock_ms{static_cast<std::int64_t>(m_meanRun)};
+        return std::max(byRate, clock_ms{static_cast<std::int64_t>(m_meanRun)});
+    }
+    if (m_rate.rate() && m_running.size() + ahead < m_limit) {
+        return byRate;
     }
-    return clock_ms{static_cast<std::int64_t>(m_meanRun * static_cast<double>(ahead + 1) / m_limit)};
+    return std::max(byRate, clock_ms{static_cast<std::int64_t>(m_meanRun * static_cast<double>(ahead + 1) / m_limit)});
 }
 
 /** Calls of another group of the rank go first only until that group has as many slots as this one will have. */
--- a/src/admission/slot_queue_base.h
+++ b/src/admission/slot_queue_base.h
@@ -2,12 +2,14 @@
 
 #pragma once
 
+#include "admission/rate_limit_base.h"
 #include "core/clock_type.h"
 #include "core/id_type.h"
 #include "request/outcome_type.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -43,6 +45,7 @@
 
 struct slot_snapshot {
     std::uint32_t limit = 0; ///< Slots that may be in use; 0 while closed.
+    std::uint32_t usableLimit = 0; ///< Slots that the server's rate can keep in use; the limit if it states none.
     std::uint32_t inUse = 0;
     std::uint32_t waiting = 0;
     clock_ms meanRun; ///< Mean time for which a call holds a slot.
@@ -53,7 +56,8 @@
  * to the group with the fewest slots in use (max-min fairness), so that a flood of one kind of call doesn't shut out the
  * others; within a group the earliest deadline goes first. A call that can't expect a slot before its wait limit is
  * refused on arrival. When the queue is full, the last call of the least urgent rank's longest group is refused. The
- * number of slots is known, so only the mean run time is estimated. Not thread-safe; does no I/O.
+ * number of slots is known, so only the mean run time is estimated. A server may also bound the rate of its calls: then a
+ * call needs both a free slot and its turn in the rate. Not thread-safe; does no I/O.
  */
 class slot_queue
 {
@@ -63,6 +67,9 @@
     /** Opens the queue for a new backend server, or changes its number of slots. */
     void setSlots(std::uint32_t slots, clock_ms now, std::vector<slot_decision> &decisions);
 
+    /** Bounds the calls admitted in a second, or lifts the bound. */
+    void setRate(std::optional<double> perSecond, clock_ms now, std::vector<slot_decision> &decisions);
+
     /** Stops admission and refuses all waiting calls; slots in use are still counted. */
     void close(outcome_reason reason, clock_ms now, std::vector<slot_decision> &decisions);
 
@@ -119,13 +126,16 @@
     waiting_place firstPlace() const;
     waiting_place lastPlace() const;
     std::uint32_t slotsInUse(std::uint32_t group) const;
-    clock_ms expectedWait(std::size_t ahead) const;
+    bool mayAdmit(clock_ms now) const;
+    std::uint32_t usableLimit() const;
+    clock_ms expectedWait(std::size_t ahead, clock_ms now) const;
     std::size_t countAhead(const waiting_place &place) const;
 
     slot_queue_settings m_settings;
     bool m_isOpen = false;
     outcome_reason m_closeReason = outcome_reason::no_upstream;
     std::uint32_t m_limit = 0;
+    rate_limit m_rate;
     double m_meanRun; ///< Milliseconds.
     std::uint64_t m_arrivals = 0;
     std::map<std::uint32_t, rank_queue> m_waiting; ///< By rank.
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -120,7 +120,8 @@
     const bool isChanged = before.id != after.id || before.startedAt != after.startedAt || before.state != after.state || before.slots != after.slots;
     if (before.id != after.id || before.startedAt != after.startedAt) {
         m_runTimes.clear();
-        m_notice = {};
+        m_lastNotice = {};
+        setRate(std::nullopt);
     }
     if (verdict == heartbeat_verdict::accepted && isChanged) {
         stateChanged("heartbeat");
@@ -171,11 +172,11 @@
     if (now - m_paceLoggedAt < paceLogPeriod) {
         return;
     }
-    if (m_notice.rate != rate_statement::none) {
+    if (m_rate) {
         logEvent(log_level::info,
                  "server_pace",
                  {{"server", m_registry.current().id},
-                  {"max_rate", std::to_string(m_notice.maxRate)},
+                  {"max_rate", std::to_string(*m_rate)},
                   {"sent", m_sent},
                   {"for_ms", (now - m_paceLoggedAt).count},
                   {"waiting", m_queue.snapshot().waiting}});
@@ -373,23 +374,40 @@
     }
 }
 
-/** Takes note of what the current backend server states about itself. */
+/**
+ * Applies what the current backend server states about itself in an answer. Only a signed answer without a rate lifts it,
+ * since any other may come from something in front of the server.
+ */
 void server_gate::readNotice(const gated_call &call, const http_response &response)
 {
-    if (call.serverId != m_registry.current().id) {
+    if (call.serverId != m_registry.current().id || response.status == http_status::misdirected) {
         return;
     }
     const server_notice notice = readServerNotice(response.headers, m_core.adapter.headers);
-    if (notice.rate != m_notice.rate || notice.maxRate != m_notice.maxRate || notice.leaving != m_notice.leaving) {
-        logEvent(log_level::info,
+    const bool isSigned = findHeader(response.headers, m_core.adapter.headers.signature).has_value();
+    const bool isUsable = notice.rate == rate_statement::stated || (notice.rate == rate_statement::none && isSigned);
+    if (!(notice == m_lastNotice)) {
+        logEvent(notice.rate == rate_statement::unreadable ? log_level::warning : log_level::info,
                  "server_notice",
                  {{"server", call.serverId},
                   {"rate", toString(notice.rate)},
                   {"max_rate", std::to_string(notice.maxRate)},
                   {"leaving", notice.leaving},
+                  {"used", isUsable},
                   {"request", call.call.requestId}});
     }
-    m_notice = notice;
+    m_lastNotice = notice;
+    if (isUsable) {
+        setRate(notice.rate == rate_statement::stated ? std::optional(notice.maxRate) : std::nullopt);
+    }
+}
+
+void server_gate::setRate(std::optional<double> perSecond)
+{
+    if (m_rate != perSecond) {
+        m_rate = perSecond;
+        m_queue.setRate(perSecond, steadyNow(), m_decisions);
+    }
 }
 
 link_reply server_gate::classifyResult(const gated_call &call, http_result result)
@@ -504,6 +522,7 @@
               {"in_use", queue.inUse},
               {"waiting", queue.waiting},
               {"limit", queue.limit},
+              {"max_rate", m_rate ? std::to_string(*m_rate) : std::string("none")},
               {"mean_run_ms", queue.meanRun.count}});
 }
 
--- a/src/sidecar/server_gate_base.h
+++ b/src/sidecar/server_gate_base.h
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -78,6 +79,7 @@
     void handleResult(const call_pointer &call, http_result result);
     link_reply classifyResult(const gated_call &call, http_result result);
     void readNotice(const gated_call &call, const http_response &response);
+    void setRate(std::optional<double> perSecond);
     void logPace(clock_ms now);
     void finish(const call_pointer &call, bool wasRun, link_reply reply);
     void armTimeout(const call_pointer &call);
@@ -98,7 +100,8 @@
     std::map<std::string, std::uint32_t, std::less<>> m_groups; ///< Groups of the queue, one for each route.
     running_calls m_running;
     run_times m_runTimes;
-    server_notice m_notice; ///< Last one of the current backend server.
+    server_notice m_lastNotice; ///< Of the current backend server, as it came.
+    std::optional<double> m_rate; ///< Requests a second that the current backend server takes; nothing if it states none.
     std::uint32_t m_sent = 0; ///< Calls sent to the backend server since the last log of its pace.
     clock_ms m_paceLoggedAt;
 };
--- a/src/sidecar/server_notice_func.h
+++ b/src/sidecar/server_notice_func.h
@@ -27,6 +27,8 @@
     rate_statement rate = rate_statement::none;
     double maxRate = 0; ///< Requests a second that it takes from all hosts together; only if `stated`.
     bool leaving = false; ///< It ends soon and takes no new requests.
+
+    bool operator==(const server_notice &) const = default;
 };
 
 server_notice readServerNotice(std::span<const http_field> headers, const wire_headers &names);
--- a/tests/unit/server_limit_test.cpp
+++ b/tests/unit/server_limit_test.cpp
@@ -89,3 +89,50 @@
     CHECK(target.served.size() > before);
     CHECK(target.served.size() - before <= allowedInWindow);
 }
+
+TEST_CASE("a rate is a decimal number and any other text states none")
+{
+    CHECK(parseRate("17.8") == 17.8);
+    CHECK(parseRate("0") == 0.0);
+    CHECK(parseRate("250") == 250.0);
+    for (const std::string text : {"", ".", "-1", "+4", "4 ", "1e3", "0x10", "nan", "inf", "4,5", "4.5.6", "four", "4;5"}) {
+        CAPTURE(text);
+        CHECK_FALSE(parseRate(text));
+    }
+    CHECK_FALSE(parseRate(std::string(400, '9'))); // Beyond the range of a double.
+}
+
+TEST_CASE("an unreadable rate changes nothing and an answer without one lifts it")
+{
+    two_hosts hosts(true, answerWithRate("1"));
+    auto &[fleet, entry, target] = hosts;
+    REQUIRE(fleet.call(entry, "/feebox/").message.status == 200);
+    for (const std::string text : {"-4", "1e9", "many", ""}) {
+        CAPTURE(text);
+        target.serve = answerWithRate(text);
+        fleet.runFor(clock_ms{1'000});
+        CHECK(fleet.call(entry, "/feebox/").message.status == 200);
+        CHECK(fleet.call(entry, "/feebox/").message.status == 503); // Still one a second.
+    }
+    target.serve = sidecar_fleet::answerWell;
+    fleet.runFor(clock_ms{1'000});
+    for (int number = 0; number < 10; ++number) {
+        CHECK(fleet.call(entry, "/feebox/").message.status == 200);
+    }
+}
+
+TEST_CASE("a new incarnation of a backend server isn't bound by the rate of the earlier one")
+{
+    two_hosts hosts(true, answerWithRate("1"));
+    auto &[fleet, entry, target] = hosts;
+    REQUIRE(fleet.call(entry, "/feebox/").message.status == 200);
+    CHECK(fleet.call(entry, "/feebox/").message.status == 503);
+    target.serve = sidecar_fleet::answerWell;
+    fleet.beat(target, "i-1", 4, "gone");
+    fleet.beat(target, "i-2", 4);
+    fleet.beat(target, "i-2", 4); // Its start time isn't later, so that one heartbeat isn't enough.
+    REQUIRE(fleet.eventually([&fleet, &entry] {
+        return fleet.call(entry, "/feebox/").message.status == 200;
+    }));
+    CHECK(fleet.call(entry, "/feebox/").message.status == 200);
+}
--- a/tests/unit/slot_queue_test.cpp
+++ b/tests/unit/slot_queue_test.cpp
@@ -182,3 +182,65 @@
         }
     }
 }
+
+// A server got several times the rate that it stated, as long as slots were free (LIMIT).
+TEST_CASE("calls never exceed the rate that a server states in any four seconds and use most of it (LIMIT)")
+{
+    constexpr clock_ms window{4'000};
+    for (std::uint64_t seed = 1; seed <= seedCount(20); ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        slot_queue queue(slot_queue_settings{});
+        std::vector<slot_decision> decisions;
+        queue.setSlots(60, start, decisions);
+        const double rate = std::uniform_real_distribution<double>(0, 40)(random);
+        queue.setRate(rate, start, decisions);
+        std::vector<clock_ms> admitted;
+        std::uint64_t next = 0;
+        constexpr std::int64_t end = 20'000;
+        for (std::int64_t at = 0; at < end; at += 1 + static_cast<std::int64_t>(random() % 20)) {
+            const clock_ms now = start + clock_ms{at};
+            queue.submit({call_id{++next}, static_cast<std::uint32_t>(random() % 3), now + clock_ms{2'000}, now + clock_ms{300}}, now, decisions);
+            queue.tick(now, decisions);
+            while (!decisions.empty()) {
+                for (const slot_decision &decision : std::exchange(decisions, {})) {
+                    if (decision.admitted) {
+                        admitted.push_back(now);
+                        queue.finish(decision.call, true, now, decisions);
+                    }
+                }
+            }
+        }
+        for (std::size_t first = 0; first < admitted.size(); ++first) {
+            const auto last = std::ranges::lower_bound(admitted, admitted[first] + window);
+            const auto count = static_cast<double>(std::distance(admitted.begin() + static_cast<std::ptrdiff_t>(first), last));
+            REQUIRE(count <= 1.5 * rate * 4 + 5);
+        }
+        constexpr double seconds = 20;
+        CHECK(static_cast<double>(admitted.size()) >= 0.8 * rate * seconds - 2);
+        CHECK(!admitted.empty()); // Also at a rate of nearly 0: only an answer can lift it.
+    }
+}
+
+TEST_CASE("what a stated rate leaves no room for is refused at once with its turn and urgent calls go first")
+{
+    slot_queue queue(slot_queue_settings{});
+    std::vector<slot_decision> decisions;
+    queue.setSlots(60, start, decisions);
+    queue.setRate(4, start, decisions); // A turn every 250 ms.
+    queue.submit(makeRequest(1, 2, 1'000), start, decisions);
+    queue.submit(makeRequest(2, 0, 1'000), start, decisions);
+    queue.submit(makeRequest(3, 2, 100), start, decisions);
+    REQUIRE(find(decisions, 3) != nullptr);
+    CHECK_FALSE(find(decisions, 3)->admitted);
+    CHECK(find(decisions, 3)->retryAfter == clock_ms{750}); // After the two that wait.
+    decisions.clear();
+    queue.tick(start + clock_ms{250}, decisions);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].call == call_id{2});
+    queue.setRate(std::nullopt, start + clock_ms{300}, decisions);
+    REQUIRE(decisions.size() == 2); // Nothing holds the other back any more.
+    CHECK(decisions[1].call == call_id{1});
+    const slot_snapshot snapshot = queue.snapshot();
+    CHECK(snapshot.usableLimit == snapshot.limit);
+}
