--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -119,7 +119,7 @@
     dispatch(now, decisions);
 }
 
-slot_snapshot slot_queue::snapshot() const
+slot_snapshot slot_queue::snapshot(clock_ms now) const
 {
     slot_snapshot result;
     result.limit = m_isOpen ? m_limit : 0;
@@ -127,6 +127,7 @@
     result.inUse = static_cast<std::uint32_t>(m_running.size());
     result.waiting = static_cast<std::uint32_t>(m_places.size());
     result.meanRun = clock_ms{static_cast<std::int64_t>(m_meanRun)};
+    result.noRoomFor = m_rate.wait(m_places.size(), now);
     return result;
 }
 
--- a/src/admission/slot_queue_base.h
+++ b/src/admission/slot_queue_base.h
@@ -49,6 +49,7 @@
     std::uint32_t inUse = 0;
     std::uint32_t waiting = 0;
     clock_ms meanRun; ///< Mean time for which a call holds a slot.
+    clock_ms noRoomFor; ///< Time until the server's rate has room for a new call; 0 if it has, or states none.
 };
 
 /**
@@ -88,7 +89,7 @@
     /** Refuses calls past their wait limit or too close to their deadline. */
     void tick(clock_ms now, std::vector<slot_decision> &decisions);
 
-    slot_snapshot snapshot() const;
+    slot_snapshot snapshot(clock_ms now) const;
 
 private:
     struct waiting_key {
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -49,6 +49,8 @@
     out.set_in_use(report.inUse);
     out.set_waiting(report.waiting);
     out.set_limit(report.limit);
+    out.set_usable_limit(report.usableLimit);
+    out.set_no_room_ms(toWire(report.noRoomFor));
     out.set_mean_run_ms(toWire(report.meanRun));
     out.set_leaving(report.leaving);
     for (const route_run &run : report.runs) {
@@ -70,6 +72,8 @@
     result.inUse = report.in_use();
     result.waiting = report.waiting();
     result.limit = report.limit();
+    result.usableLimit = report.usable_limit() == 0 ? report.limit() : report.usable_limit();
+    result.noRoomFor = clock_ms{report.no_room_ms()};
     result.meanRun = clock_ms{report.mean_run_ms()};
     result.leaving = report.leaving();
     for (const link_wire::Route_Run &run : report.runs()) {
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -32,6 +32,8 @@
     std::uint32_t inUse = 0; ///< Slots in use.
     std::uint32_t waiting = 0; ///< Calls in the queue.
     std::uint32_t limit = 0; ///< Concurrency limit of the gate.
+    std::uint32_t usableLimit = 0; ///< Slots that the rate stated by the server can keep in use; the limit if it states none.
+    clock_ms noRoomFor; ///< Time until that rate has room for a call; 0 if it has.
     clock_ms meanRun; ///< Mean run time of all calls at the backend server.
     bool leaving = false; ///< The sidecar is shutting down as planned.
     std::vector<route_run> runs; ///< Of routes with recent calls; only in answers to probes.
--- a/src/routing/router_base.h
+++ b/src/routing/router_base.h
@@ -39,6 +39,7 @@
     std::uint32_t inUse = 0; ///< Slots in use, piggybacked on the answer.
     std::uint32_t waiting = 0; ///< Queued calls, piggybacked on the answer.
     std::uint32_t limit = 0; ///< Concurrency limit, piggybacked on the answer; 0 if not reported.
+    clock_ms noRoomFor; ///< Time until the rate of the backend server has room for a call, piggybacked on the answer.
 };
 
 /** Routing state of an upstream, for operator queries. */
--- a/src/routing/upstream_load_base.h
+++ b/src/routing/upstream_load_base.h
@@ -16,7 +16,7 @@
 /** Estimated load at one point in time. */
 struct load_estimate {
     double perSlot = 0.0; ///< Running, queued and in-flight calls per slot, including the call to be placed.
-    bool isFull = false; ///< The concurrency limit is reached and calls are queued.
+    bool isFull = false; ///< The concurrency limit is reached and calls are queued, or the backend server's rate has no room.
 };
 
 /** Uses atomics only. A reader may see a mix of two reports; such an estimate is no worse than an outdated one. */
@@ -45,6 +45,7 @@
     std::atomic<std::uint32_t> m_waiting{0};
     std::atomic<std::uint32_t> m_limit{0};
     std::atomic<std::uint32_t> m_inFlightAtReport{0};
+    std::atomic<std::int64_t> m_noRoomUntil{INT64_MIN / 2}; ///< Instant, milliseconds.
 };
 
 } // namespace cicadamux::detail
--- a/src/sidecar/request_attempts.cpp
+++ b/src/sidecar/request_attempts.cpp
@@ -81,7 +81,7 @@
     const std::shared_ptr<host_link> link = m_directory.find(host);
     const call_id id = link ? link->call(makeCall(*inbound), std::move(handler)) : call_id::invalid();
     if (!id.isValid()) {
-        m_core.upstreams.ended(inbound->service, host, {false, true, 0, 0, 0}, steadyNow());
+        m_core.upstreams.ended(inbound->service, host, {false, true, 0, 0, 0, {}}, steadyNow());
         inbound->attempt.clear();
         return false;
     }
@@ -127,7 +127,8 @@
     report.failed = reply.outcome == call_outcome::unknown || reply.reason == outcome_reason::shed || reply.status >= 500;
     report.inUse = reply.report.inUse;
     report.waiting = reply.report.waiting;
-    report.limit = reply.report.limit;
+    report.limit = reply.report.usableLimit;
+    report.noRoomFor = reply.report.noRoomFor;
     m_core.upstreams.ended(inbound.service, inbound.attempt.host, report, steadyNow());
 }
 
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -179,7 +179,7 @@
                   {"max_rate", std::to_string(*m_rate)},
                   {"sent", m_sent},
                   {"for_ms", (now - m_paceLoggedAt).count},
-                  {"waiting", m_queue.snapshot().waiting}});
+                  {"waiting", m_queue.snapshot(steadyNow()).waiting}});
     }
     m_sent = 0;
     m_paceLoggedAt = now;
@@ -203,7 +203,7 @@
 
 host_report server_gate::report() const
 {
-    const slot_snapshot queue = m_queue.snapshot();
+    const slot_snapshot queue = m_queue.snapshot(steadyNow());
     host_report report;
     report.incarnation = m_core.incarnation;
     report.configurationVersion = m_core.routes.version();
@@ -211,6 +211,8 @@
     report.inUse = queue.inUse;
     report.waiting = queue.waiting;
     report.limit = queue.limit;
+    report.usableLimit = queue.usableLimit;
+    report.noRoomFor = queue.noRoomFor;
     report.meanRun = queue.meanRun;
     report.leaving = m_core.stopping;
     return report;
@@ -505,7 +507,7 @@
     if (!m_core.log.mayLogFailure()) {
         return;
     }
-    const slot_snapshot queue = m_queue.snapshot();
+    const slot_snapshot queue = m_queue.snapshot(steadyNow());
     logEvent(log_level::info,
              "gate_refused",
              {{"request", call.call.requestId},
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -103,6 +103,25 @@
     CHECK(tally(routes, warm, 10, {"host-0", "host-1", "host-2"}).at("") == 10);
 }
 
+// Requests were refused after three hosts without room although a fourth had plenty.
+TEST_CASE("a host whose rate has no room is passed over until it has while another has room (servers that state a rate)")
+{
+    router routes(atHost("caller"), seeded(1));
+    const std::vector<upstream> all = {makeUpstream(0), makeUpstream(1), makeUpstream(2, "tbs-2")};
+    routes.setUpstreams(all, warm);
+    const upstream_report noRoom{true, false, 1, 0, 3, clock_ms{400}};
+    endMany(routes, "host-0", noRoom, 1, warm);
+    CHECK(tally(routes, warm) == std::map<std::string, int>{{"host-1", 2'000}});
+    endMany(routes, "host-1", noRoom, 1, warm);
+    CHECK(tally(routes, warm) == std::map<std::string, int>{{"host-2", 2'000}});
+    CHECK(tally(routes, warm + clock_ms{399}) == std::map<std::string, int>{{"host-2", 2'000}});
+    CHECK(tally(routes, warm + clock_ms{400}).count("host-2") == 0);
+    endMany(routes, "host-2", noRoom, 1, warm);
+    CHECK(tally(routes, warm).count("") == 0); // Each host without room: the gate decides.
+    endMany(routes, "host-0", {true, false, 1, 0, 3, clock_ms{60'000}}, 1, warm);
+    CHECK(tally(routes, warm + clock_ms{2'000}).count("host-0") == 1);
+}
+
 TEST_CASE("a draining upstream is found, but never chosen")
 {
     router routes(atHost("caller"), seeded(1));
--- a/tests/unit/slot_queue_test.cpp
+++ b/tests/unit/slot_queue_test.cpp
@@ -178,7 +178,7 @@
                 }
             }
             CHECK(running.size() < slots);
-            CHECK(queue.snapshot().inUse == running.size());
+            CHECK(queue.snapshot(start).inUse == running.size());
         }
     }
 }
@@ -241,6 +241,6 @@
     queue.setRate(std::nullopt, start + clock_ms{300}, decisions);
     REQUIRE(decisions.size() == 2); // Nothing holds the other back any more.
     CHECK(decisions[1].call == call_id{1});
-    const slot_snapshot snapshot = queue.snapshot();
+    const slot_snapshot snapshot = queue.snapshot(start);
     CHECK(snapshot.usableLimit == snapshot.limit);
 }
