--- a/src/admission/rate_limit.cpp
+++ b/src/admission/rate_limit.cpp
@@ -17,7 +17,7 @@
 
 void rate_limit::set(std::optional<double> perSecond, clock_ms now)
 {
-    const double tokens = m_rate ? tokensAt(now) : 0;
+    const double tokens = m_rate ? tokensAt(now) : 1;
     m_rate = perSecond ? std::optional(std::max(minRate, *perSecond)) : std::nullopt;
     m_tokens = m_rate ? std::min(tokens, capacity()) : 0;
     m_countedAt = now;
--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -41,6 +41,8 @@
 using rank_id = typed_id<struct rank_tag, std::uint8_t, 255>;
 /** Identifies one run of a daemon; it grows with each restart. */
 using incarnation_id = typed_id<struct incarnation_tag, std::uint64_t, 0>;
+/** Identifies one run of a backend server; a server that starts again under the same id has another one. */
+using server_incarnation = typed_id<struct server_incarnation_tag, std::uint64_t, 0>;
 
 /** Formats a 64-bit identifier as 16 lower-case hexadecimal digits. */
 std::string toHex(std::uint64_t value);
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -5,6 +5,7 @@
 #include "link.pb.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cicadamux
 {
@@ -41,6 +42,29 @@
     return span.count > 0 ? static_cast<std::uint32_t>(span.count) : 0;
 }
 
+void encodeStatement(const server_statement &statement, link_wire::Server_Statement &out)
+{
+    out.set_server(statement.server.value);
+    out.set_heard(statement.isHeard);
+    if (statement.maxRate) {
+        out.set_max_rate(*statement.maxRate);
+    }
+}
+
+server_statement decodeStatement(const link_wire::Server_Statement &statement)
+{
+    server_statement result;
+    result.server = server_incarnation{statement.server()};
+    result.isHeard = statement.heard();
+    if (statement.has_max_rate()) {
+        if (!std::isfinite(statement.max_rate()) || statement.max_rate() < 0) {
+            throw link_error("statement with rate " + std::to_string(statement.max_rate()));
+        }
+        result.maxRate = statement.max_rate();
+    }
+    return result;
+}
+
 void encodeReport(const host_report &report, link_wire::Report &out)
 {
     out.set_incarnation(report.incarnation.value);
@@ -53,6 +77,9 @@
     out.set_no_room_ms(toWire(report.noRoomFor));
     out.set_mean_run_ms(toWire(report.meanRun));
     out.set_leaving(report.leaving);
+    if (report.statement.server.isValid()) {
+        encodeStatement(report.statement, *out.mutable_statement());
+    }
     for (const route_run &run : report.runs) {
         link_wire::Route_Run &written = *out.add_runs();
         written.set_route(run.route);
@@ -76,6 +103,7 @@
     result.noRoomFor = clock_ms{report.no_room_ms()};
     result.meanRun = clock_ms{report.mean_run_ms()};
     result.leaving = report.leaving();
+    result.statement = decodeStatement(report.statement());
     for (const link_wire::Route_Run &run : report.runs()) {
         result.runs.push_back({run.route(), clock_ms{run.mean_ms()}});
     }
@@ -103,6 +131,9 @@
         written.set_target(call.target);
         encodeFields(call.headers, *written.mutable_headers());
         written.set_body(call.body);
+        if (call.statement) {
+            encodeStatement(*call.statement, *written.mutable_statement());
+        }
     }
 
     void operator()(const link_reply &reply) const
@@ -187,6 +218,9 @@
     result.target = std::move(*call.mutable_target());
     result.headers = decodeFields(call.headers());
     result.body = std::move(*call.mutable_body());
+    if (call.has_statement()) {
+        result.statement = decodeStatement(call.statement());
+    }
     return result;
 }
 
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -24,6 +25,21 @@
     clock_ms mean; ///< Over the most recent calls.
 };
 
+/** What a backend server has stated about itself in its answers. */
+struct server_statement {
+    server_incarnation server; ///< Invalid if there is no server.
+    bool isHeard = false; ///< The sender has had an answer of this server, so that the members below are complete.
+    std::optional<double> maxRate; ///< Requests a second that it takes from all hosts together.
+
+    /** @return Whether it binds no host. */
+    bool isEmpty() const
+    {
+        return !maxRate;
+    }
+
+    bool operator==(const server_statement &) const = default;
+};
+
 /** State of a host as reported by itself. */
 struct host_report {
     incarnation_id incarnation; ///< Of the sidecar; changes with each restart.
@@ -34,6 +50,7 @@
     std::uint32_t limit = 0; ///< Concurrency limit of the gate.
     std::uint32_t usableLimit = 0; ///< Slots that the rate stated by the server can keep in use; the limit if it states none.
     clock_ms noRoomFor; ///< Time until that rate has room for a call; 0 if it has.
+    server_statement statement; ///< Of its backend server.
     clock_ms meanRun; ///< Mean run time of all calls at the backend server.
     bool leaving = false; ///< The sidecar is shutting down as planned.
     std::vector<route_run> runs; ///< Of routes with recent calls; only in answers to probes.
@@ -55,6 +72,7 @@
     std::string target;
     std::vector<http_field> headers; ///< Without hop-by-hop headers.
     std::string body;
+    std::optional<server_statement> statement; ///< What the sender knows of the target's server, if the target's gate hasn't heard it yet.
 };
 
 /** Why a nested call, made by the backend server while it ran a call, wasn't answered. */
--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -203,6 +203,9 @@
     if (!known.report || known.report->server != report.server) {
         known.servingSince = steadyNow();
     }
+    if (report.statement.isHeard) {
+        m_servers.record(report.statement);
+    }
     const bool wasConfigured = !known.report || known.report->configurationVersion > 0;
     known.report = report;
     if (wasConfigured != (report.configurationVersion > 0)) {
@@ -381,6 +384,16 @@
     return run == known->second.runs.end() ? 0 : run->second;
 }
 
+std::optional<server_statement> host_directory::unheardStatement(std::string_view host) const
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end() || !found->second.report || found->second.report->statement.isHeard) {
+        return std::nullopt;
+    }
+    const server_statement *known = m_servers.find(found->second.report->statement.server);
+    return known == nullptr ? std::nullopt : std::optional(*known);
+}
+
 std::vector<remote_host_status> host_directory::remoteHosts() const
 {
     std::vector<remote_host_status> result;
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -4,6 +4,7 @@
 
 #include "link/host_link_base.h"
 #include "sidecar/remote_host_status_type.h"
+#include "sidecar/server_memory_base.h"
 #include "sidecar/sidecar_core_type.h"
 #include "store/object_mirror_base.h"
 
@@ -69,6 +70,9 @@
     /** @return Mean run time of a route at another host, in milliseconds; 0 if unknown. */
     double expectedRun(std::string_view host, std::string_view route) const;
 
+    /** @return What is known of a host's backend server and its gate hasn't heard from it yet; nothing otherwise. */
+    std::optional<server_statement> unheardStatement(std::string_view host) const;
+
     /** @return Status of all other hosts, for operator queries. */
     std::vector<remote_host_status> remoteHosts() const;
 
@@ -113,6 +117,7 @@
     host_directory_hooks m_hooks;
     std::shared_ptr<object_mirror> m_mirror;
     std::map<std::string, known_host, std::less<>> m_hosts; ///< Other hosts, by name.
+    server_memory m_servers;
     std::uint64_t m_ownVersion = 0; ///< Version of this host's entry in the store; 0 if there is none.
     bool m_ownIsCurrent = false; ///< This host's entry in the store is up to date.
     bool m_isWriting = false;
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -83,6 +83,9 @@
         refuse(responder, outcome_reason::no_upstream, defaultRetryAfter);
         return [] {};
     }
+    if (call.statement) {
+        adopt(*call.statement);
+    }
     byte_reservation body(m_core.heldBytes);
     if (!body.tryResize(call.body.size())) {
         refuse(responder, outcome_reason::daemon_busy, defaultRetryAfter);
@@ -121,6 +124,7 @@
     if (before.id != after.id || before.startedAt != after.startedAt) {
         m_runTimes.clear();
         m_lastNotice = {};
+        m_isHeard = false;
         setRate(std::nullopt);
     }
     if (verdict == heartbeat_verdict::accepted && isChanged) {
@@ -213,6 +217,7 @@
     report.limit = queue.limit;
     report.usableLimit = queue.usableLimit;
     report.noRoomFor = queue.noRoomFor;
+    report.statement = {m_registry.current().incarnation(), m_isHeard, m_rate};
     report.meanRun = queue.meanRun;
     report.leaving = m_core.stopping;
     return report;
@@ -400,10 +405,21 @@
     }
     m_lastNotice = notice;
     if (isUsable) {
+        m_isHeard = true;
         setRate(notice.rate == rate_statement::stated ? std::optional(notice.maxRate) : std::nullopt);
     }
 }
 
+/** Takes over what another host has heard of the backend server, until one of its own answers says more. */
+void server_gate::adopt(const server_statement &statement)
+{
+    if (m_isHeard || statement.server != m_registry.current().incarnation() || !statement.maxRate || (m_rate && *m_rate <= *statement.maxRate)) {
+        return;
+    }
+    logEvent(log_level::info, "server_notice_adopted", {{"server", m_registry.current().id}, {"max_rate", std::to_string(*statement.maxRate)}});
+    setRate(statement.maxRate);
+}
+
 void server_gate::setRate(std::optional<double> perSecond)
 {
     if (m_rate != perSecond) {
--- a/src/sidecar/server_gate_base.h
+++ b/src/sidecar/server_gate_base.h
@@ -80,6 +80,7 @@
     link_reply classifyResult(const gated_call &call, http_result result);
     void readNotice(const gated_call &call, const http_response &response);
     void setRate(std::optional<double> perSecond);
+    void adopt(const server_statement &statement);
     void logPace(clock_ms now);
     void finish(const call_pointer &call, bool wasRun, link_reply reply);
     void armTimeout(const call_pointer &call);
@@ -101,6 +102,7 @@
     running_calls m_running;
     run_times m_runTimes;
     server_notice m_lastNotice; ///< Of the current backend server, as it came.
+    bool m_isHeard = false; ///< An answer of the current backend server has come.
     std::optional<double> m_rate; ///< Requests a second that the current backend server takes; nothing if it states none.
     std::uint32_t m_sent = 0; ///< Calls sent to the backend server since the last log of its pace.
     clock_ms m_paceLoggedAt;
--- a/src/sidecar/server_registry.cpp
+++ b/src/sidecar/server_registry.cpp
@@ -2,6 +2,10 @@
 
 #include "sidecar/server_registry_base.h"
 
+#include "core/hash_func.h"
+
+#include <algorithm>
+
 namespace cicadamux
 {
 
@@ -12,6 +16,14 @@
 constexpr std::int64_t silentHeartbeats = 2; ///< Heartbeat intervals without a heartbeat after which the known server counts as ended.
 } // namespace
 
+server_incarnation known_server::incarnation() const
+{
+    if (id.empty()) {
+        return server_incarnation::invalid();
+    }
+    return server_incarnation{std::max<std::uint64_t>(1, hashNumber(static_cast<std::uint64_t>(startedAt.count), hashBytes(id)))};
+}
+
 server_registry::server_registry(std::string service, std::string address, clock_ms heartbeat)
     : m_service(std::move(service))
     , m_address(std::move(address))
--- a/src/sidecar/server_registry_base.h
+++ b/src/sidecar/server_registry_base.h
@@ -42,6 +42,9 @@
     std::uint32_t slots = 0;
     clock_ms updatedAt; ///< Instant of the last accepted heartbeat, or of the departure.
     clock_ms coldUntil; ///< Instant at which its warm-up ends.
+
+    /** @return Invalid if no server is known. */
+    server_incarnation incarnation() const;
 };
 
 /**
