Fix: A backend server that states in its answers that it leaves gets no more requests (DRAIN)

Cause: leaving was learnt from heartbeats and departures only, and known to the sidecar beside the server alone. While the store is away, a restart of that sidecar forgot it. Change: the gate closes at the first answer with the header, whatever the heartbeats say, and the departure is recorded in the store like any other. Reports name it with the server's incarnation; other hosts remember it and don't choose that host again for this incarnation, and a call that carries it closes a gate that has forgotten.

--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -46,6 +46,7 @@
 {
     out.set_server(statement.server.value);
     out.set_heard(statement.isHeard);
+    out.set_leaving(statement.leaving);
     if (statement.maxRate) {
         out.set_max_rate(*statement.maxRate);
     }
@@ -56,6 +57,7 @@
     server_statement result;
     result.server = server_incarnation{statement.server()};
     result.isHeard = statement.heard();
+    result.leaving = statement.leaving();
     if (statement.has_max_rate()) {
         if (!std::isfinite(statement.max_rate()) || statement.max_rate() < 0) {
             throw link_error("statement with rate " + std::to_string(statement.max_rate()));
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -28,13 +28,14 @@
 /** What a backend server has stated about itself in its answers. */
 struct server_statement {
     server_incarnation server; ///< Invalid if there is no server.
-    bool isHeard = false; ///< The sender has had an answer of this server, so that the members below are complete.
+    bool isHeard = false; ///< The sender has had an answer of this server, so that the rate is known.
     std::optional<double> maxRate; ///< Requests a second that it takes from all hosts together.
+    bool leaving = false; ///< It drains or has left, which is final for an incarnation.
 
     /** @return Whether it binds no host. */
     bool isEmpty() const
     {
-        return !maxRate;
+        return !maxRate && !leaving;
     }
 
     bool operator==(const server_statement &) const = default;
--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -199,11 +199,11 @@
     }
     known_host &known = found->second;
     const bool isNew = !known.report || known.report->incarnation != report.incarnation || known.report->server != report.server
-        || known.report->leaving != report.leaving || known.report->limit != report.limit;
+        || known.report->leaving != report.leaving || known.report->limit != report.limit || known.report->statement.server != report.statement.server;
     if (!known.report || known.report->server != report.server) {
         known.servingSince = steadyNow();
     }
-    if (report.statement.isHeard) {
+    if (report.statement.isHeard || report.statement.leaving) {
         m_servers.record(report.statement);
     }
     const bool wasConfigured = !known.report || known.report->configurationVersion > 0;
@@ -353,7 +353,9 @@
             continue;
         }
         const host_report &report = *known.report;
-        const bool isUsable = known.health == link_health::up && report.server == server_state::serving && !report.leaving;
+        const server_statement *stated = m_servers.find(report.statement.server);
+        const bool hasLeft = stated != nullptr && stated->leaving; // Its sidecar may have forgotten it in a restart.
+        const bool isUsable = known.health == link_health::up && report.server == server_state::serving && !report.leaving && !hasLeft;
         upstream candidate;
         candidate.service = known.entry.service;
         candidate.host = host;
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -217,7 +217,7 @@
     report.limit = queue.limit;
     report.usableLimit = queue.usableLimit;
     report.noRoomFor = queue.noRoomFor;
-    report.statement = {m_registry.current().incarnation(), m_isHeard, m_rate};
+    report.statement = {m_registry.current().incarnation(), m_isHeard, m_rate, m_registry.isLeaving()};
     report.meanRun = queue.meanRun;
     report.leaving = m_core.stopping;
     return report;
@@ -408,12 +408,37 @@
         m_isHeard = true;
         setRate(notice.rate == rate_statement::stated ? std::optional(notice.maxRate) : std::nullopt);
     }
+    if (notice.leaving) {
+        markLeaving("answer");
+    }
+}
+
+void server_gate::onServerLeaving(std::function<void()> hook)
+{
+    m_serverLeaving = std::move(hook);
+}
+
+void server_gate::markLeaving(std::string_view why)
+{
+    if (!m_registry.markLeaving()) {
+        return;
+    }
+    stateChanged(why);
+    if (m_serverLeaving) {
+        m_serverLeaving();
+    }
 }
 
 /** Takes over what another host has heard of the backend server, until one of its own answers says more. */
 void server_gate::adopt(const server_statement &statement)
 {
-    if (m_isHeard || statement.server != m_registry.current().incarnation() || !statement.maxRate || (m_rate && *m_rate <= *statement.maxRate)) {
+    if (statement.server != m_registry.current().incarnation()) {
+        return;
+    }
+    if (statement.leaving) {
+        markLeaving("other host");
+    }
+    if (m_isHeard || !statement.maxRate || (m_rate && *m_rate <= *statement.maxRate)) {
         return;
     }
     logEvent(log_level::info, "server_notice_adopted", {{"server", m_registry.current().id}, {"max_rate", std::to_string(*statement.maxRate)}});
--- a/src/sidecar/server_gate_base.h
+++ b/src/sidecar/server_gate_base.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -47,6 +48,9 @@
     /** Processes the backend server's notice that it leaves. */
     void departure(const std::string &id, std::optional<clock_ms> startedAt);
 
+    /** Calls the hook when the backend server states in an answer that it leaves. */
+    void onServerLeaving(std::function<void()> hook);
+
     /** Refuses calls that have waited too long; called periodically. */
     void tick();
 
@@ -81,6 +85,7 @@
     void readNotice(const gated_call &call, const http_response &response);
     void setRate(std::optional<double> perSecond);
     void adopt(const server_statement &statement);
+    void markLeaving(std::string_view why);
     void logPace(clock_ms now);
     void finish(const call_pointer &call, bool wasRun, link_reply reply);
     void armTimeout(const call_pointer &call);
@@ -102,6 +107,7 @@
     running_calls m_running;
     run_times m_runTimes;
     server_notice m_lastNotice; ///< Of the current backend server, as it came.
+    std::function<void()> m_serverLeaving;
     bool m_isHeard = false; ///< An answer of the current backend server has come.
     std::optional<double> m_rate; ///< Requests a second that the current backend server takes; nothing if it states none.
     std::uint32_t m_sent = 0; ///< Calls sent to the backend server since the last log of its pace.
--- a/src/sidecar/server_memory.cpp
+++ b/src/sidecar/server_memory.cpp
@@ -14,7 +14,10 @@
 {
     const auto found = m_statements.find(statement.server);
     if (found != m_statements.end()) {
-        found->second = statement;
+        found->second.leaving = found->second.leaving || statement.leaving;
+        if (statement.isHeard) {
+            found->second.maxRate = statement.maxRate;
+        }
         return;
     }
     if (statement.isEmpty()) {
--- a/src/sidecar/server_memory_base.h
+++ b/src/sidecar/server_memory_base.h
@@ -17,7 +17,7 @@
 class server_memory
 {
 public:
-    /** Replaces what is known of the statement's server. */
+    /** Adds to what is known of the statement's server; a rate counts only if it was heard. */
     void record(const server_statement &statement);
 
     /** @return Null if the server has stated nothing. */
--- a/src/sidecar/server_registry.cpp
+++ b/src/sidecar/server_registry.cpp
@@ -102,6 +102,20 @@
     }
 }
 
+bool server_registry::markLeaving()
+{
+    if (m_server.id.empty() || isLeaving()) {
+        return false;
+    }
+    m_server.state = server_state::draining;
+    return true;
+}
+
+bool server_registry::isLeaving() const
+{
+    return m_server.state == server_state::draining || hasDeparted(m_server.id, m_server.startedAt);
+}
+
 const known_server &server_registry::current() const
 {
     return m_server;
--- a/src/sidecar/server_registry_base.h
+++ b/src/sidecar/server_registry_base.h
@@ -70,6 +70,12 @@
     /** Marks the server absent because it refuses connections; the next heartbeat restores it. */
     void markUnreachable();
 
+    /** Records that the known server leaves. @return False if that was known. */
+    bool markLeaving();
+
+    /** @return Whether the known server drains or has left. */
+    bool isLeaving() const;
+
     const known_server &current() const;
 
 private:
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -95,6 +95,10 @@
     m_core.stalls.onStall([this](const stall &found) {
         handleStall(found);
     });
+    m_gate.onServerLeaving([this] {
+        m_departures->record({m_gate.server().id, m_gate.server().startedAt}, [] {});
+        upstreamsChanged();
+    });
 }
 
 sidecar::~sidecar() = default;
