--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -41,12 +41,6 @@
     return settings;
 }
 
-/** The directory may be old: watches catch up, and a host that is gone shows by its link. The configuration and departures may not. */
-store_options storeOptions()
-{
-    return {{std::string(hostDirectoryKind)}};
-}
-
 /** @return Bytes that requests and responses may take together. */
 std::size_t heldBytesLimit(std::uint32_t memoryMb)
 {
@@ -374,6 +368,24 @@
     upstreamsChanged();
 }
 
+/** The directory may be old: watches catch up, and a host that is gone shows by its link. The configuration and departures may not. */
+store_options sidecar::storeOptions()
+{
+    store_options options;
+    options.staleKinds = {std::string(hostDirectoryKind)};
+    options.restored = [this](std::uint64_t era) {
+        handleStoreRestored(era);
+    };
+    return options;
+}
+
+void sidecar::handleStoreRestored(std::uint64_t era)
+{
+    logEvent(log_level::warning,
+             "store_restored",
+             {{"era", era}, {"configuration", m_core.routes.version()}, {"hosts", static_cast<std::uint64_t>(m_directory.hostCount())}});
+}
+
 void sidecar::replaceStore()
 {
     m_store.replace(m_core.adapter.makeStore(m_context, m_core.settings.platformAddress, storeOptions()));
--- a/src/sidecar/sidecar_base.h
+++ b/src/sidecar/sidecar_base.h
@@ -64,6 +64,8 @@
     fleet_bounds readBounds(const daemon_settings &fresh) const;
     http_limits outboundLimits() const;
     void applyLimits();
+    store_options storeOptions();
+    void handleStoreRestored(std::uint64_t era);
     void replaceStore();
     void upstreamsChanged();
     void tick();
--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -95,6 +95,7 @@
     beast::flat_buffer m_buffer{maxHeaderBytes + readSize};
     http::request<http::string_body> m_request;
     std::size_t m_maxAnswerBytes = 0;
+    std::string m_eraHeader;
     std::optional<http::response_parser<http::string_body>> m_parser;
     store_answer_handler m_handler;
 };
@@ -103,6 +104,7 @@
 {
     m_handler = std::move(handler);
     m_maxAnswerBytes = request.maxAnswerBytes;
+    m_eraHeader = request.eraHeader;
     makeRequest(request);
     m_stream.expires_after(std::chrono::milliseconds(request.timeout.count));
     if (!m_endpoint) {
@@ -194,6 +196,9 @@
     answer.isReusable = m_parser->keep_alive() && m_buffer.size() == 0;
     auto response = m_parser->release();
     answer.status = response.result_int();
+    if (!m_eraHeader.empty()) {
+        answer.era = std::string(response[m_eraHeader]);
+    }
     answer.body = std::move(response.body());
     m_stream.expires_never();
     if (!answer.isReusable) {
@@ -209,7 +214,7 @@
     m_stream.close();
     m_buffer.clear();
     const auto handler = std::exchange(m_handler, nullptr);
-    handler({failure, 0, {}, false});
+    handler({failure, 0, {}, {}, false});
 }
 } // namespace
 
--- a/src/store/store_connection_base.h
+++ b/src/store/store_connection_base.h
@@ -21,6 +21,7 @@
     std::string body; ///< JSON, or empty.
     clock_ms timeout; ///< For the whole call, including the time to connect.
     std::size_t maxAnswerBytes = 0; ///< Greatest body of the answer.
+    std::string eraHeader; ///< Name of the answer's header with the store's era; empty if it has none.
 };
 
 /** Result of a request; a complete HTTP answer unless there is a failure. */
@@ -28,6 +29,7 @@
     store_failure failure = store_failure::none;
     unsigned status = 0;
     std::string body;
+    std::string era; ///< Value of the era's header; empty without one.
     bool isReusable = false; ///< Whether the connection can be used for another request.
 };
 
--- a/src/store/store_http.cpp
+++ b/src/store/store_http.cpp
@@ -39,7 +39,7 @@
 private:
     detail::store_request makeRequest(std::string method, std::string target, std::size_t maxAnswerBytes) const
     {
-        return {std::move(method), std::move(target), {}, {}, m_transport->settings().timeout, maxAnswerBytes};
+        return {std::move(method), std::move(target), {}, {}, m_transport->settings().timeout, maxAnswerBytes, {}};
     }
 
     std::shared_ptr<detail::store_transport> m_transport;
--- a/src/store/store_transport_base.h
+++ b/src/store/store_transport_base.h
@@ -65,7 +65,7 @@
     {
         boost::asio::post(m_context, [self = shared_from_this(), failure, handler = std::move(handler)] {
             if (!self->m_isStopped) {
-                handler({failure, 0, {}, false});
+                handler({failure, 0, {}, {}, false});
             }
         });
     }
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -64,6 +64,8 @@
 /** How a client of the store reads. */
 struct store_options {
     std::vector<std::string> staleKinds; ///< Kinds whose lists and watches may be some seconds old, which costs the store less.
+    /** The store has come back from an older copy. Called before the handler of the call whose answer shows it. */
+    std::function<void(std::uint64_t era)> restored;
 };
 
 /**
