--- a/tests/unit/fleet_fakes.cpp
+++ b/tests/unit/fleet_fakes.cpp
@@ -50,12 +50,43 @@
     store_result<std::uint64_t> result;
     {
         const std::lock_guard lock(m_mutex);
-        stored_entry &object = m_contents.objects[{std::string(kind), std::string(name)}];
-        if (isDown || object.object.version != ifVersion) {
-            result.failure = isDown ? store_failure::timeout : store_failure::conflict;
+        const std::pair key{std::string(kind), std::string(name)};
+        const auto found = m_contents.objects.find(key);
+        const std::uint64_t current = found == m_contents.objects.end() ? 0 : found->second.object.version;
+        if (isDown) {
+            result.failure = store_failure::timeout;
+        } else if (current != ifVersion) {
+            result.failure = current == 0 ? store_failure::not_found : store_failure::conflict;
+            result.currentVersion = current;
         } else {
-            object = {{std::string(kind), std::string(name), ifVersion + 1, std::string(value)}, ++m_contents.cursor};
-            result.value = ifVersion + 1;
+            stored_entry &object = m_contents.objects[key];
+            ++m_contents.cursor;
+            object = {{std::string(kind), std::string(name), m_contents.cursor, std::string(value)}, m_contents.cursor};
+            result.value = m_contents.cursor;
+        }
+    }
+    boost::asio::post(m_context, [handler = std::move(handler), result] {
+        handler(result);
+    });
+}
+
+void fake_platform::remove(std::string_view kind, std::string_view name, std::uint64_t ifVersion, store_handler<std::uint64_t> handler)
+{
+    ++calls;
+    store_result<std::uint64_t> result;
+    {
+        const std::lock_guard lock(m_mutex);
+        const std::pair key{std::string(kind), std::string(name)};
+        const auto found = m_contents.objects.find(key);
+        if (isDown) {
+            result.failure = store_failure::timeout;
+        } else if (found == m_contents.objects.end()) {
+            result.failure = store_failure::not_found;
+        } else if (found->second.object.version != ifVersion) {
+            result.failure = store_failure::conflict;
+        } else {
+            m_contents.objects.erase(found);
+            m_contents.deleted[key] = ++m_contents.cursor;
         }
     }
     boost::asio::post(m_context, [handler = std::move(handler), result] {
@@ -77,13 +108,23 @@
             result.value.items.push_back(object.object);
         }
     }
+    for (const auto &[key, at] : m_contents.deleted) {
+        if (key.first == kind && at > cursor && !m_contents.objects.contains(key)) {
+            result.value.deleted.push_back(key.second);
+        }
+    }
     return result;
 }
 
 void fake_platform::list(std::string_view kind, store_handler<store_changes> handler)
 {
     ++calls;
-    boost::asio::post(m_context, [handler = std::move(handler), result = changesSince(std::string(kind), 0)] {
+    store_result<store_changes> result = changesSince(std::string(kind), 0);
+    if (failingLists > 0) {
+        --failingLists;
+        result = {store_failure::rejected, 0, {}};
+    }
+    boost::asio::post(m_context, [handler = std::move(handler), result] {
         handler(result);
     });
 }
@@ -91,19 +132,25 @@
 void fake_platform::watch(std::string_view kind, std::uint64_t cursor, clock_ms wait, store_handler<store_changes> handler)
 {
     ++calls;
-    answerWatch(std::string(kind), cursor, wait, std::move(handler));
+    answerWatch(std::string(kind), cursor, wait, era, std::move(handler));
 }
 
-void fake_platform::answerWatch(const std::string &kind, std::uint64_t cursor, clock_ms wait, store_handler<store_changes> handler)
+void fake_platform::answerWatch(const std::string &kind, std::uint64_t cursor, clock_ms wait, std::uint64_t since, store_handler<store_changes> handler)
 {
-    const auto result = changesSince(kind, cursor);
-    const bool isOver = result.failure != store_failure::none || !result.value.items.empty() || result.value.cursor < cursor || wait <= clock_ms{};
+    store_result<store_changes> result = changesSince(kind, cursor);
+    if (result.failure == store_failure::none && since != era) {
+        result = {store_failure::connection_lost, 0, {}};
+    } else if (result.failure == store_failure::none && refusesUnknownCursors && result.value.cursor < cursor) {
+        result = {store_failure::cursor_too_old, 0, {}};
+    }
+    const bool isChanged = !result.value.items.empty() || !result.value.deleted.empty();
+    const bool isOver = result.failure != store_failure::none || isChanged || result.value.cursor < cursor || wait <= clock_ms{};
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(watchStep.count));
-    timer->async_wait([this, timer, isOver, result, kind, cursor, wait, handler = std::move(handler)](const boost::system::error_code &) {
+    timer->async_wait([this, timer, isOver, result, kind, cursor, wait, since, handler = std::move(handler)](const boost::system::error_code &) {
         if (isOver) {
             handler(result);
         } else {
-            answerWatch(kind, cursor, wait - watchStep, handler);
+            answerWatch(kind, cursor, wait - watchStep, since, handler);
         }
     });
 }
@@ -111,8 +158,8 @@
 void fake_platform::write(const std::string &kind, const std::string &name, const std::string &value)
 {
     const std::lock_guard lock(m_mutex);
-    stored_entry &object = m_contents.objects[{kind, name}];
-    object = {{kind, name, object.object.version + 1, value}, ++m_contents.cursor};
+    ++m_contents.cursor;
+    m_contents.objects[{kind, name}] = {{kind, name, m_contents.cursor, value}, m_contents.cursor};
 }
 
 void fake_platform::save()
@@ -125,6 +172,13 @@
 {
     const std::lock_guard lock(m_mutex);
     m_contents = m_saved;
+    ++era;
+}
+
+void fake_platform::erase(const std::string &kind, const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    m_contents.objects.erase({kind, name});
 }
 
 bool fake_platform::holds(const std::string &kind, const std::string &name)
--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -30,10 +30,7 @@
 
     void get(std::string_view kind, std::string_view name, store_handler<stored_object> handler) override;
     void put(std::string_view kind, std::string_view name, std::string_view value, std::uint64_t ifVersion, store_handler<std::uint64_t> handler) override;
-    void remove(std::string_view, std::string_view, std::uint64_t, store_handler<std::uint64_t> handler) override
-    {
-        handler({store_failure::unreachable, 0, {}}); // The code under test removes no objects.
-    }
+    void remove(std::string_view kind, std::string_view name, std::uint64_t ifVersion, store_handler<std::uint64_t> handler) override;
 
     void list(std::string_view kind, store_handler<store_changes> handler) override;
     void watch(std::string_view kind, std::uint64_t cursor, clock_ms wait, store_handler<store_changes> handler) override;
@@ -41,13 +38,22 @@
     /** Writes an object regardless of its version. */
     void write(const std::string &kind, const std::string &name, const std::string &value);
 
-    /** Reverts to the contents at the last save(). */
+    /**
+     * Reverts to the contents at the last save(): versions and cursors are given out again, waiting watches end, the era
+     * rises, and a watch from a cursor that isn't given out yet is refused.
+     */
     void restore();
     void save();
 
+    /** Removes an object regardless of its version; watches don't tell. */
+    void erase(const std::string &kind, const std::string &name);
+
     /** @return Whether an object of this kind and name exists. */
     bool holds(const std::string &kind, const std::string &name);
 
+    std::atomic<std::uint64_t> era{1};
+    std::atomic<int> failingLists{0}; ///< Lists that will still be refused.
+    std::atomic<bool> refusesUnknownCursors{false}; ///< A watch from a cursor beyond the newest fails; otherwise it returns the newest.
     std::atomic<bool> isDown{false};
     std::atomic<std::uint64_t> calls{0};
     std::atomic<std::uint64_t> writes{0}; ///< Calls of put(), which `calls` includes.
@@ -59,11 +65,12 @@
     };
     struct contents {
         std::map<std::pair<std::string, std::string>, stored_entry> objects;
+        std::map<std::pair<std::string, std::string>, std::uint64_t> deleted; ///< Cursor at the removal.
         std::uint64_t cursor = 0;
     };
 
     store_result<store_changes> changesSince(const std::string &kind, std::uint64_t cursor);
-    void answerWatch(const std::string &kind, std::uint64_t cursor, clock_ms wait, store_handler<store_changes> handler);
+    void answerWatch(const std::string &kind, std::uint64_t cursor, clock_ms wait, std::uint64_t since, store_handler<store_changes> handler);
 
     boost::asio::io_context &m_context;
     std::mutex m_mutex;
--- a/tests/unit/sidecar_fleet_fake.cpp
+++ b/tests/unit/sidecar_fleet_fake.cpp
@@ -2,9 +2,11 @@
 
 #include "sidecar_fleet_fake.h"
 
+#include "store/store_era_base.h"
 #include "support/address_func.h"
 
 #include <chrono>
+#include <set>
 #include <sstream>
 
 namespace cicadamux::test
@@ -14,42 +16,71 @@
 {
 constexpr clock_ms callTimeout{20'000}; ///< Exceeded only if something is broken.
 
-/** A sidecar's client of the shared platform. */
+/** A sidecar's client of the shared platform; follows its era like a real one. */
 class platform_client : public object_store
 {
 public:
-    explicit platform_client(object_store &platform)
+    platform_client(fake_platform &platform, store_options options)
         : m_platform(platform)
+        , m_shared(std::make_shared<shared_state>())
     {
+        m_shared->restored = std::move(options.restored);
     }
 
+    ~platform_client() override
+    {
+        m_shared->restored = nullptr;
+    }
+
+    platform_client(const platform_client &) = delete;
+    platform_client &operator=(const platform_client &) = delete;
+
     void get(std::string_view kind, std::string_view name, store_handler<stored_object> handler) override
     {
-        m_platform.get(kind, name, std::move(handler));
+        m_platform.get(kind, name, following(std::move(handler)));
     }
 
     void put(std::string_view kind, std::string_view name, std::string_view value, std::uint64_t ifVersion, store_handler<std::uint64_t> handler) override
     {
-        m_platform.put(kind, name, value, ifVersion, std::move(handler));
+        m_platform.put(kind, name, value, ifVersion, following(std::move(handler)));
     }
 
     void remove(std::string_view kind, std::string_view name, std::uint64_t ifVersion, store_handler<std::uint64_t> handler) override
     {
-        m_platform.remove(kind, name, ifVersion, std::move(handler));
+        m_platform.remove(kind, name, ifVersion, following(std::move(handler)));
     }
 
     void list(std::string_view kind, store_handler<store_changes> handler) override
     {
-        m_platform.list(kind, std::move(handler));
+        m_platform.list(kind, following(std::move(handler)));
     }
 
     void watch(std::string_view kind, std::uint64_t cursor, clock_ms wait, store_handler<store_changes> handler) override
     {
-        m_platform.watch(kind, cursor, wait, std::move(handler));
+        m_platform.watch(kind, cursor, wait, following(std::move(handler)));
     }
 
 private:
-    object_store &m_platform;
+    struct shared_state {
+        store_era era;
+        std::function<void(std::uint64_t era)> restored;
+    };
+
+    /** Reads the era of each answer; a call that fails on the way has none. */
+    template<typename Value>
+    store_handler<Value> following(store_handler<Value> handler)
+    {
+        return [&platform = m_platform, shared = m_shared, handler = std::move(handler)](const store_result<Value> &result) {
+            const std::set lost{store_failure::unreachable, store_failure::timeout, store_failure::connection_lost};
+            if (!lost.contains(result.failure) && shared->era.observe(std::to_string(platform.era)) == era_change::restored && shared->restored) {
+                shared->restored(*shared->era.current());
+            }
+            handler(result);
+        };
+    }
+
+    fake_platform &m_platform;
+    std::shared_ptr<shared_state> m_shared;
 };
 
 std::optional<server_message> readMessage(const cicadamux::http_request &request)
@@ -71,6 +102,7 @@
     : m_memoryMb(hostMemoryMb)
     , m_bootClock(std::move(bootClock))
 {
+    platform.refusesUnknownCursors = true;
 }
 
 sidecar_fleet::~sidecar_fleet()
@@ -99,9 +131,9 @@
         return m_configurations.at(std::string(text));
     };
     adapter.readServerMessage = readMessage;
-    adapter.makeStore = [this](boost::asio::io_context &, const std::string &, const store_options &) {
+    adapter.makeStore = [this](boost::asio::io_context &, const std::string &, const store_options &options) {
         ++storesMade;
-        return std::make_unique<platform_client>(platform);
+        return std::make_unique<platform_client>(platform, options);
     };
     return adapter;
 }
