Fix: A mirror whose cursor was refused lists again, also after the list has failed (CONFIG)

Cause: after a refused cursor the mirror listed, but a failed list was retried as a watch from the refused cursor. Once the store had given out as many numbers again, that watch succeeded and passed over all that was written under them. Change: a refused cursor, like refresh(), makes the mirror unlisted until a list succeeds.

--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -29,6 +29,7 @@
 {
     if (!m_stopped) {
         ++m_listRound;
+        m_isListed = false;
         m_timer.cancel();
         list();
     }
@@ -96,6 +97,7 @@
 void object_mirror::watched(const store_result<store_changes> &result)
 {
     if (result.failure == store_failure::cursor_too_old) {
+        m_isListed = false; // The cursor may become valid again, past changes that were never seen.
         list();
         return;
     }
