Fix: What was read before the store came back from a copy is read again (CONFIG)

Cause: a watch went on from the revision of the time before. Once the store has given out as many revisions again it doesn't refuse that, and what was written under those in between is never told. Evidence: the test, in which the operator's newer configuration stands under a number that an older one had. Change: a new era makes the mirrors of the configuration and of the hosts list again. After a failure the first watch ends at once, so that its answer shows the era; a waiting one would show it only with the next change or after 30 s. Why this works: no number from an earlier era is used after the first answer of the new one, and that answer comes with the first call that succeeds. The test of the joined host depended on who lists first and now refuses writes until all have; it still fails.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -379,11 +379,14 @@
     return options;
 }
 
+/** What was read counts for nothing: the same revisions now stand for other changes. */
 void sidecar::handleStoreRestored(std::uint64_t era)
 {
     logEvent(log_level::warning,
              "store_restored",
              {{"era", era}, {"configuration", m_core.routes.version()}, {"hosts", static_cast<std::uint64_t>(m_directory.hostCount())}});
+    m_configuration.refresh();
+    m_directory.refresh();
 }
 
 void sidecar::replaceStore()
--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -10,6 +10,11 @@
 namespace cicadamux
 {
 
+namespace
+{
+constexpr clock_ms shortestWait{1};
+} // namespace
+
 object_mirror::object_mirror(boost::asio::io_context &context, object_store &store, object_mirror_settings settings, objects_hook changed, random_source random)
     : m_store(store)
     , m_settings(std::move(settings))
@@ -84,9 +89,11 @@
     }
 }
 
+/** After a failure the first watch ends at once: its answer shows whether the store has come back from a copy meanwhile. */
 void object_mirror::watch()
 {
-    m_store.watch(m_settings.kind, m_cursor, m_settings.wait, [self = weak_from_this(), round = m_listRound](const store_result<store_changes> &result) {
+    const clock_ms wait = m_isLost ? shortestWait : m_settings.wait;
+    m_store.watch(m_settings.kind, m_cursor, wait, [self = weak_from_this(), round = m_listRound](const store_result<store_changes> &result) {
         const auto mirror = self.lock();
         if (mirror && !mirror->m_stopped && mirror->m_listRound == round) {
             mirror->watched(result);
--- a/tests/unit/fleet_fakes.cpp
+++ b/tests/unit/fleet_fakes.cpp
@@ -55,6 +55,8 @@
         const std::uint64_t current = found == m_contents.objects.end() ? 0 : found->second.object.version;
         if (isDown) {
             result.failure = store_failure::timeout;
+        } else if (refusesWrites) {
+            result.failure = store_failure::rejected;
         } else if (current != ifVersion) {
             result.failure = current == 0 ? store_failure::not_found : store_failure::conflict;
             result.currentVersion = current;
--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -52,6 +52,7 @@
     bool holds(const std::string &kind, const std::string &name);
 
     std::atomic<std::uint64_t> era{1};
+    std::atomic<bool> refusesWrites{false};
     std::atomic<int> failingLists{0}; ///< Lists that will still be refused.
     std::atomic<bool> refusesUnknownCursors{false}; ///< A watch from a cursor beyond the newest fails; otherwise it returns the newest.
     std::atomic<bool> isDown{false};
--- a/tests/unit/store_restored_test.cpp
+++ b/tests/unit/store_restored_test.cpp
@@ -96,12 +96,15 @@
         fleet.runFor(clock_ms{200});
         return !held.empty();
     }));
-    comeBackWith(fleet, [] {});
     const auto during = fleet.send(entry, "/feebox/", clock_ms{5'000});
     const std::size_t before = held.size();
     REQUIRE(fleet.eventually([&] {
         return held.size() > before;
     }));
+    fleet.platform.refusesWrites = true; // All hosts list before the joined one has written its entry again.
+    comeBackWith(fleet, [] {});
+    fleet.runFor(clock_ms{600});
+    fleet.platform.refusesWrites = false;
     fleet.runFor(returnBound);
     CHECK(fleet.platform.holds("cicadamux-hosts", "host-3"));
     held.back()->answer(sidecar_fleet::goodAnswer(held.back()->request()));
