Fix: A departure is recorded again after the store has come back from a copy (DRAIN)

Cause: a stored record was taken for stored for ever. The same held for a record that the process had only read at its start. Change: a new era makes the record be written again; a write that was under way then proves nothing. A record that was read counts as this process's own.

--- a/src/sidecar/departure_record.cpp
+++ b/src/sidecar/departure_record.cpp
@@ -91,9 +91,18 @@
     }
     logEvent(
         log_level::info, "departure_restored", {{"server", server->id}, {"born", server->startedAt ? server->startedAt->count : 0}, {"version", m_version}});
+    m_server = server;
+    m_isStored = true;
     m_restored(*server);
 }
 
+void departure_record::repeat()
+{
+    ++m_round;
+    m_isStored = false;
+    write();
+}
+
 void departure_record::record(departed_server server, std::function<void()> done)
 {
     finishWaiting();
@@ -124,13 +133,13 @@
                 m_host,
                 formatDepartedServer(*m_server),
                 m_version,
-                [self = weak_from_this(), written = *m_server](const store_result<std::uint64_t> &result) {
+                [self = weak_from_this(), written = *m_server, round = m_round](const store_result<std::uint64_t> &result) {
                     const auto record = self.lock();
                     if (!record || record->m_isStopped) {
                         return;
                     }
                     record->m_isWriting = false;
-                    record->m_isStored = result.failure == store_failure::none && record->m_server == written;
+                    record->m_isStored = result.failure == store_failure::none && record->m_server == written && record->m_round == round;
                     record->handleWritten(result);
                 });
 }
--- a/src/sidecar/departure_record_base.h
+++ b/src/sidecar/departure_record_base.h
@@ -51,6 +51,9 @@
      */
     void record(departed_server server, std::function<void()> done);
 
+    /** Records the last departure again, after the store has come back from a copy that may lack it. */
+    void repeat();
+
     /** Removes the record, when this host leaves for good. */
     void remove();
 
@@ -69,6 +72,7 @@
     restored_hook m_restored;
     std::optional<departed_server> m_server; ///< The departure to be stored, or already stored.
     std::uint64_t m_version = 0; ///< Of the object in the store; 0 if there is none.
+    std::uint64_t m_round = 0; ///< Incremented by repeat(); a write from an earlier round proves nothing.
     bool m_isWriting = false;
     bool m_isStored = false;
     bool m_isStopped = false;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -387,6 +387,7 @@
              {{"era", era}, {"configuration", m_core.routes.version()}, {"hosts", static_cast<std::uint64_t>(m_directory.hostCount())}});
     m_configuration.refresh();
     m_directory.refresh();
+    m_departures->repeat();
 }
 
 void sidecar::replaceStore()
