Fix: A restarted host reads its departure record also when the store has lost its entry (DRAIN)

Cause: a host took itself for new when the directory lacked its entry, and read no record. After a store's return from a copy, or a start that was too short to write the entry, that is no proof. Change: the record is read at each start unless the settings say that the whole fleet starts for the first time (platform.first_start, from the platform's field of the same meaning); then it is read as before, if the entry is there. The first start of a fleet makes no more calls than it did.

--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -57,6 +57,7 @@
     setting_row{ "platform.watch_ms", &topLevel<&settings::platformWatch>, false, name, "ms", 100, 300'000, "How long one watch request waits for changes" },
     setting_row{ "platform.calls_per_minute", &topLevel<&settings::platformCallsPerMinute>, false, name, "calls a minute", 1, 100'000, "Rate limit of this daemon's calls to the platform" },
     setting_row{ "platform.bounds", &topLevel<&settings::platformBounds>, true, text_form::file, "", 0, 0, "Fleet bounds in the format of the platform", settings_profile::sidecar, live },
+    setting_row{ "platform.first_start", &topLevel<&settings::isFirstStart>, false, name, "", 0, 0, "The whole fleet starts for the first time, so that the store holds nothing that this host has written", settings_profile::sidecar },
     setting_row{ "limits.threads", &topLevel<&settings::threads>, false, name, "threads", 1, 64, "Worker threads" },
     setting_row{ "limits.memory_mb", &topLevel<&settings::memoryMb>, false, name, "MB", 0, 1'048'576, "Memory available to the process; a part of it limits the bytes buffered for requests and responses; 0: unlimited", settings_profile::sidecar, live },
     setting_row{ "limits.connections", &topLevel<&settings::maxConnections>, false, name, "connections", 1, 65'536, "Maximum number of open connections per HTTP listener", settings_profile::any, live },
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -41,6 +41,7 @@
     std::string readyAddress; ///< `IP:port`; sidecar only.
     std::string backendAddress; ///< `IP:port` of the backend server; sidecar only, as a daemon learns it from the server's announcement.
     std::string backendService; ///< Service of the backend server; sidecar only.
+    bool isFirstStart = false; ///< The whole fleet starts for the first time; sidecar only.
     std::string platformBounds; ///< Fleet bounds in the format of the platform; sidecar only.
 
     std::vector<std::string> seeds; ///< Peer addresses of some daemons, used to join the fleet.
--- a/src/sidecar/departure_record.cpp
+++ b/src/sidecar/departure_record.cpp
@@ -61,7 +61,9 @@
 
 void departure_record::start()
 {
-    read();
+    if (!std::exchange(m_isReading, true)) {
+        read();
+    }
 }
 
 void departure_record::read()
--- a/src/sidecar/departure_record_base.h
+++ b/src/sidecar/departure_record_base.h
@@ -42,7 +42,7 @@
     /** @param restored Called if the store holds a departure that was recorded before this process started. */
     departure_record(boost::asio::io_context &context, object_store &store, std::string host, restored_hook restored);
 
-    /** Reads the record; repeats while the store is unavailable. */
+    /** Reads the record unless that has begun; repeats while the store is unavailable. */
     void start();
 
     /**
@@ -73,6 +73,7 @@
     std::optional<departed_server> m_server; ///< The departure to be stored, or already stored.
     std::uint64_t m_version = 0; ///< Of the object in the store; 0 if there is none.
     std::uint64_t m_round = 0; ///< Incremented by repeat(); a write from an earlier round proves nothing.
+    bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isStored = false;
     bool m_isStopped = false;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -102,6 +102,9 @@
     startListeners();
     m_configuration.start();
     m_directory.start();
+    if (!m_core.settings.isFirstStart) { // This host's entry is no proof that it is new: the store may have come back from a copy.
+        m_departures->start();
+    }
     tick();
     logEvent(log_level::info,
              "sidecar_started",
