--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -106,27 +106,49 @@
         m_hooks.restarted();
     }
     m_ownIsCurrent = entries.contains(m_own.host) && entries[m_own.host] == m_own;
+    if (m_isLeaving) {
+        leave(); // The store has come back from a copy that still has the entry.
+    }
     entries.erase(m_own.host);
+    m_entries = std::move(entries);
+    removeUnlisted();
+    addListed();
+    setProbePeriods();
+    m_hooks.changed();
+    writeOwnEntry(steadyNow());
+}
+
+/**
+ * Forgets the hosts that the store doesn't list any more, or at another address. A link that is up proves that its host
+ * lives, whatever the store says, which may have come back from a copy: it is kept until it breaks.
+ */
+void host_directory::removeUnlisted()
+{
     for (auto known = m_hosts.begin(); known != m_hosts.end();) {
-        const auto found = entries.find(known->first);
-        if (found != entries.end() && found->second.linkAddress == known->second.entry.linkAddress) {
+        const auto found = m_entries.find(known->first);
+        if (found != m_entries.end() && found->second.linkAddress == known->second.entry.linkAddress) {
             known->second.entry = found->second;
             ++known;
             continue;
         }
+        if (known->second.link->health() != link_health::down) {
+            ++known;
+            continue;
+        }
         logEvent(log_level::info, "host_removed", {{"peer", known->first}, {"address", known->second.entry.linkAddress}});
         const std::shared_ptr<host_link> link = known->second.link;
         known = m_hosts.erase(known);
         link->stop();
     }
-    for (const auto &[name, entry] : entries) {
+}
+
+void host_directory::addListed()
+{
+    for (const auto &[name, entry] : m_entries) {
         if (!m_hosts.contains(name)) {
             add(entry);
         }
     }
-    setProbePeriods();
-    m_hooks.changed();
-    writeOwnEntry(steadyNow());
 }
 
 /** Keeps the cost of probes of one host flat while the fleet grows. */
@@ -186,6 +208,7 @@
     }
     found->second.report.reset();
     found->second.runs.clear();
+    m_isLinkLost = m_isLinkLost || !isUp;
     logEvent(isUp ? log_level::info : log_level::warning, isUp ? "link_up" : "link_down", {{"peer", host}, {"why", why}});
     updateHealth(host, found->second);
     m_hooks.changed();
@@ -309,6 +332,11 @@
             isChanged = true;
         }
     }
+    if (std::exchange(m_isLinkLost, false) && m_hasListing) {
+        removeUnlisted();
+        addListed();
+        isChanged = true;
+    }
     if (isChanged) {
         m_hooks.changed();
     }
@@ -435,7 +463,8 @@
 
 void host_directory::leave()
 {
-    if (std::exchange(m_isLeaving, true) || m_ownVersion == 0) {
+    m_isLeaving = true;
+    if (m_ownVersion == 0) {
         return;
     }
     m_store.remove(hostDirectoryKind, m_own.host, m_ownVersion, [](const store_result<std::uint64_t> &result) {
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -98,6 +98,8 @@
     };
 
     void applyEntries(const std::map<std::string, stored_object> &objects);
+    void removeUnlisted();
+    void addListed();
     void add(const host_entry &entry);
     void handleLinkChange(const std::string &host, bool isUp, std::string_view why);
     void handleReport(const std::string &host, const host_report &report);
@@ -117,12 +119,14 @@
     host_directory_hooks m_hooks;
     std::shared_ptr<object_mirror> m_mirror;
     std::map<std::string, known_host, std::less<>> m_hosts; ///< Other hosts, by name.
+    std::map<std::string, host_entry> m_entries; ///< Of other hosts, as last listed by the store.
     server_memory m_servers;
     std::uint64_t m_ownVersion = 0; ///< Version of this host's entry in the store; 0 if there is none.
     bool m_ownIsCurrent = false; ///< This host's entry in the store is up to date.
     bool m_isWriting = false;
     bool m_hasListing = false; ///< The store has listed the hosts at least once.
     bool m_isLeaving = false;
+    bool m_isLinkLost = false; ///< A link has broken since the last tick, so that its host may have to be forgotten.
     clock_ms m_nextWrite;
     clock_ms m_startedAt;
     clock_ms m_probePeriod{1'000}; ///< Of links to configured hosts.
--- a/tests/unit/host_directory_test.cpp
+++ b/tests/unit/host_directory_test.cpp
@@ -241,3 +241,40 @@
     CHECK(hosts.probes[1] == 2);
     hosts.directory.stop();
 }
+
+TEST_CASE("a host that the store lists no more is kept while its link is up and forgotten when it breaks")
+{
+    boost::asio::io_context context;
+    sidecar_core core(context, makeSettings(), makeAdapter());
+    silent_store store;
+    int introductions = 0;
+    const std::string address = freeAddress();
+    link_server reached(context, address, 1'000'000, makeNewHost(introductions));
+    bool isUp = false;
+    host_directory_hooks hooks = makeHooks();
+    hooks.linkChanged = [&isUp](const std::string &, link_health health) {
+        isUp = health == link_health::up;
+    };
+    host_directory directory(core, store, makeEntry("host-0"), hooks);
+    directory.start();
+    host_entry live = makeEntry("host-1");
+    live.linkAddress = address;
+    const auto runUntil = [&](bool wanted) {
+        for (int round = 0; round < 1'000 && isUp != wanted; ++round) {
+            context.run_one_for(std::chrono::milliseconds(10));
+        }
+        CHECK(isUp == wanted);
+        directory.tick(steadyNow());
+    };
+    store.listing({store_failure::none, 0, {7, {{"kind", "host-1", 5, formatHostEntry(live)}}, {}}});
+    runUntil(true);
+    directory.refresh(); // The store has come back from a copy that lacks the host.
+    store.listing({store_failure::none, 0, {3, {}, {}}});
+    directory.tick(steadyNow());
+    CHECK(directory.hostCount() == 2);
+    CHECK(isUp);
+    reached.stop();
+    runUntil(false);
+    CHECK(directory.hostCount() == 1);
+    directory.stop();
+}
