Change: What a restarted gate has forgotten is told to it when its host first reports (LIMIT, DRAIN)

Cause: a call carried what its sender knew of the target's server. Clients on the restarted host, and hosts that never had an answer of that server, made no such call, so that a gate whose store is away went on to send them to a server that leaves. Change: a message of its own, sent ahead of any call as soon as a report shows that the gate has forgotten a rate or a departure; the field of the call goes. A departure that is learnt so is recorded in the store again. Also in show gate, show hosts and two gauges: the stated rate and whether the server leaves.

--- a/src/link/host_link.cpp
+++ b/src/link/host_link.cpp
@@ -204,6 +204,13 @@
     }
 }
 
+void host_link::sendStatement(const server_statement &statement)
+{
+    if (isUsable()) {
+        m_stream->send(statement);
+    }
+}
+
 void host_link::tick(clock_ms now)
 {
     if (!m_stream) {
--- a/src/link/host_link_base.h
+++ b/src/link/host_link_base.h
@@ -76,6 +76,9 @@
     /** Sends the configuration and the known hosts to a newly started host. */
     void sendIntroduction(configuration_offer configuration, host_introduction hosts);
 
+    /** Tells the host what its backend server has stated, which it may have forgotten. */
+    void sendStatement(const server_statement &statement);
+
     /** Sends probes and detects a silent peer. Must be called a few times a second. */
     void tick(clock_ms now);
 
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -133,9 +133,11 @@
         written.set_target(call.target);
         encodeFields(call.headers, *written.mutable_headers());
         written.set_body(call.body);
-        if (call.statement) {
-            encodeStatement(*call.statement, *written.mutable_statement());
-        }
+    }
+
+    void operator()(const server_statement &statement) const
+    {
+        encodeStatement(statement, *out.mutable_statement());
     }
 
     void operator()(const link_reply &reply) const
@@ -220,9 +222,6 @@
     result.target = std::move(*call.mutable_target());
     result.headers = decodeFields(call.headers());
     result.body = std::move(*call.mutable_body());
-    if (call.has_statement()) {
-        result.statement = decodeStatement(call.statement());
-    }
     return result;
 }
 
@@ -287,6 +286,8 @@
         return decodeCall(*message.mutable_call());
     case link_wire::Message::kReply:
         return decodeReply(*message.mutable_reply());
+    case link_wire::Message::kStatement:
+        return decodeStatement(message.statement());
     case link_wire::Message::kCancel:
         return link_cancel{call_id{message.cancel().id()}};
     case link_wire::Message::kProbe:
--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -82,6 +82,8 @@
             m_hooks.configurationOffered(std::move(*offer));
         } else if (auto *hosts = std::get_if<host_introduction>(&message)) {
             m_hooks.hostsIntroduced(std::move(*hosts));
+        } else if (const auto *statement = std::get_if<server_statement>(&message)) {
+            m_hooks.statementReceived(*statement);
         } else if (const auto *ask = std::get_if<configuration_request>(&message)) {
             configuration_offer offer = m_hooks.configuration();
             if (offer.version > ask->newerThan) {
--- a/src/link/link_server_base.h
+++ b/src/link/link_server_base.h
@@ -25,6 +25,7 @@
     std::function<configuration_offer()> configuration; ///< Version 0 if there is none.
     std::function<void(configuration_offer offer)> configurationOffered; ///< A peer has sent its configuration unrequested.
     std::function<void(host_introduction hosts)> hostsIntroduced; ///< A peer has sent the hosts that it knows.
+    std::function<void(const server_statement &statement)> statementReceived; ///< A peer tells what this host's backend server has stated.
 };
 
 /** Not thread-safe. */
--- a/src/link/link_type.h
+++ b/src/link/link_type.h
@@ -73,7 +73,6 @@
     std::string target;
     std::vector<http_field> headers; ///< Without hop-by-hop headers.
     std::string body;
-    std::optional<server_statement> statement; ///< What the sender knows of the target's server, if the target's gate hasn't heard it yet.
 };
 
 /** Why a nested call, made by the backend server while it ran a call, wasn't answered. */
@@ -138,6 +137,7 @@
 };
 
 using link_message = std::variant<link_call,
+                                  server_statement,
                                   link_reply,
                                   link_cancel,
                                   link_probe,
--- a/src/sidecar/host_directory.cpp
+++ b/src/sidecar/host_directory.cpp
@@ -226,9 +226,7 @@
     if (!known.report || known.report->server != report.server) {
         known.servingSince = steadyNow();
     }
-    if (report.statement.isHeard || report.statement.leaving) {
-        m_servers.record(report.statement);
-    }
+    shareStatement(known, report.statement);
     const bool wasConfigured = !known.report || known.report->configurationVersion > 0;
     known.report = report;
     if (wasConfigured != (report.configurationVersion > 0)) {
@@ -261,6 +259,26 @@
     }
 }
 
+/** Remembers what a host reports of its backend server, and tells it what it has forgotten in a restart, ahead of any call. */
+void host_directory::shareStatement(const known_host &known, const server_statement &reported)
+{
+    if (reported.isHeard || reported.leaving) {
+        m_servers.record(reported);
+    }
+    const server_statement *remembered = m_servers.find(reported.server);
+    if (remembered == nullptr) {
+        return;
+    }
+    const bool hasForgottenRate = remembered->maxRate && !reported.isHeard && (!reported.maxRate || *reported.maxRate > *remembered->maxRate);
+    if (hasForgottenRate || (remembered->leaving && !reported.leaving)) {
+        logEvent(
+            log_level::info,
+            "server_statement_shared",
+            {{"peer", known.entry.host}, {"max_rate", remembered->maxRate ? std::to_string(*remembered->maxRate) : "none"}, {"leaving", remembered->leaving}});
+        known.link->sendStatement(*remembered);
+    }
+}
+
 /**
  * A host that starts while the store is unavailable knows neither a configuration nor other hosts, but the hosts that
  * connect to it do. A few of them, chosen at random, send both; more would only send the same again.
@@ -414,16 +432,6 @@
     return run == known->second.runs.end() ? 0 : run->second;
 }
 
-std::optional<server_statement> host_directory::unheardStatement(std::string_view host) const
-{
-    const auto found = m_hosts.find(host);
-    if (found == m_hosts.end() || !found->second.report || found->second.report->statement.isHeard) {
-        return std::nullopt;
-    }
-    const server_statement *known = m_servers.find(found->second.report->statement.server);
-    return known == nullptr ? std::nullopt : std::optional(*known);
-}
-
 std::vector<remote_host_status> host_directory::remoteHosts() const
 {
     std::vector<remote_host_status> result;
--- a/src/sidecar/host_directory_base.h
+++ b/src/sidecar/host_directory_base.h
@@ -70,9 +70,6 @@
     /** @return Mean run time of a route at another host, in milliseconds; 0 if unknown. */
     double expectedRun(std::string_view host, std::string_view route) const;
 
-    /** @return What is known of a host's backend server and its gate hasn't heard from it yet; nothing otherwise. */
-    std::optional<server_statement> unheardStatement(std::string_view host) const;
-
     /** @return Status of all other hosts, for operator queries. */
     std::vector<remote_host_status> remoteHosts() const;
 
@@ -104,6 +101,7 @@
     void handleLinkChange(const std::string &host, bool isUp, std::string_view why);
     void handleReport(const std::string &host, const host_report &report);
     void updateHealth(const std::string &host, known_host &known);
+    void shareStatement(const known_host &known, const server_statement &reported);
     void introduceIfDue(known_host &known, clock_ms now);
     void sendIntroduction(const known_host &known);
     void writeOwnEntry(clock_ms now);
--- a/src/sidecar/request_attempts.cpp
+++ b/src/sidecar/request_attempts.cpp
@@ -79,7 +79,7 @@
         return true;
     }
     const std::shared_ptr<host_link> link = m_directory.find(host);
-    const call_id id = link ? link->call(makeLinkCall(*inbound, host), std::move(handler)) : call_id::invalid();
+    const call_id id = link ? link->call(makeCall(*inbound), std::move(handler)) : call_id::invalid();
     if (!id.isValid()) {
         m_core.upstreams.ended(inbound->service, host, {false, true, 0, 0, 0, {}}, steadyNow());
         inbound->attempt.clear();
@@ -90,13 +90,6 @@
     return true;
 }
 
-link_call request_attempts::makeLinkCall(const inbound_request &inbound, std::string_view host) const
-{
-    link_call call = makeCall(inbound);
-    call.statement = m_directory.unheardStatement(host);
-    return call;
-}
-
 link_call request_attempts::makeCall(const inbound_request &inbound) const
 {
     const clock_ms now = steadyNow();
--- a/src/sidecar/request_attempts_base.h
+++ b/src/sidecar/request_attempts_base.h
@@ -36,7 +36,6 @@
     double expectedRun(std::string_view host, const route_rule &route) const;
     bool sendTo(const request_pointer &inbound, const std::string &host);
     link_call makeCall(const inbound_request &inbound) const;
-    link_call makeLinkCall(const inbound_request &inbound, std::string_view host) const;
     void handleReply(const request_pointer &inbound, std::uint64_t number, link_reply reply);
     void reportResult(const inbound_request &inbound, const link_reply &reply);
 
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -83,9 +83,6 @@
         refuse(responder, outcome_reason::no_upstream, defaultRetryAfter);
         return [] {};
     }
-    if (call.statement) {
-        adopt(*call.statement);
-    }
     byte_reservation body(m_core.heldBytes);
     if (!body.tryResize(call.body.size())) {
         refuse(responder, outcome_reason::daemon_busy, defaultRetryAfter);
@@ -429,7 +426,6 @@
     }
 }
 
-/** Takes over what another host has heard of the backend server, until one of its own answers says more. */
 void server_gate::adopt(const server_statement &statement)
 {
     if (statement.server != m_registry.current().incarnation()) {
@@ -443,6 +439,7 @@
     }
     logEvent(log_level::info, "server_notice_adopted", {{"server", m_registry.current().id}, {"max_rate", std::to_string(*statement.maxRate)}});
     setRate(statement.maxRate);
+    applyDecisions();
 }
 
 void server_gate::setRate(std::optional<double> perSecond)
--- a/src/sidecar/server_gate_base.h
+++ b/src/sidecar/server_gate_base.h
@@ -45,6 +45,9 @@
     /** Processes a heartbeat of the backend server. */
     heartbeat_verdict heartbeat(const server_announcement &announcement);
 
+    /** Takes over what another host has heard of the backend server; a rate only until an answer states one. */
+    void adopt(const server_statement &statement);
+
     /** Processes the backend server's notice that it leaves. */
     void departure(const std::string &id, std::optional<clock_ms> startedAt);
 
@@ -84,7 +87,6 @@
     link_reply classifyResult(const gated_call &call, http_result result);
     void readNotice(const gated_call &call, const http_response &response);
     void setRate(std::optional<double> perSecond);
-    void adopt(const server_statement &statement);
     void markLeaving(std::string_view why);
     void logPace(clock_ms now);
     void finish(const call_pointer &call, bool wasRun, link_reply reply);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t heldBytesDivisor = 6;
 constexpr std::size_t failureHistoryCapacity = 256; ///< About 100 KB; at 60 failures a second it covers some seconds.
 constexpr clock_ms logReportPeriod{1'000};
+constexpr double noRateGauge = -1; ///< Value of `gate_max_rate` while the backend server states no rate.
 constexpr clock_ms readinessNoticeTime{2'500}; ///< After a stop began: time for two readiness checks of the platform, one a second, and a margin.
 constexpr clock_ms killMargin{700}; ///< Time before the platform kills the process.
 constexpr clock_ms maxLinkWait{2'000}; ///< Time for links to come up; after it the host is ready without them.
@@ -183,6 +184,9 @@
     hooks.hostsIntroduced = [this](const host_introduction &hosts) {
         m_directory.receiveIntroduction(hosts);
     };
+    hooks.statementReceived = [this](const server_statement &statement) {
+        m_gate.adopt(statement);
+    };
     return hooks;
 }
 
@@ -270,6 +274,8 @@
     m_core.metrics.setGauge("gate_limit", report.limit);
     m_core.metrics.setGauge("gate_in_use", report.inUse);
     m_core.metrics.setGauge("gate_waiting", report.waiting);
+    m_core.metrics.setGauge("gate_max_rate", report.statement.maxRate.value_or(noRateGauge));
+    m_core.metrics.setGauge("server_leaving", report.statement.leaving ? 1 : 0);
     m_core.metrics.setGauge("requests_open", static_cast<double>(m_entry.openCount()));
     m_core.metrics.setGauge("held_bytes", static_cast<double>(m_core.heldBytes->used()));
     m_core.metrics.setGauge("hosts_known", static_cast<double>(m_directory.hostCount()));
--- a/src/sidecar/sidecar_query.cpp
+++ b/src/sidecar/sidecar_query.cpp
@@ -5,6 +5,7 @@
 #include "membership/member_type.h"
 
 #include <array>
+#include <locale>
 #include <sstream>
 
 namespace cicadamux
@@ -83,6 +84,19 @@
     return makeResult(query_status::ok, "configuration " + std::to_string(view.configuration) + " with " + std::to_string(view.routes) + " routes");
 }
 
+/** @return The rate that the host's backend server states, requests a second. */
+std::string describeRate(const host_report &report)
+{
+    std::ostringstream text;
+    text.imbue(std::locale::classic());
+    if (report.statement.maxRate) {
+        text << *report.statement.maxRate;
+    } else {
+        text << "none";
+    }
+    return text.str();
+}
+
 query_row rowOf(const remote_host_status &status)
 {
     return {status.host,
@@ -94,13 +108,14 @@
             static_cast<std::int64_t>(status.report.inUse),
             static_cast<std::int64_t>(status.report.waiting),
             static_cast<std::int64_t>(status.report.limit),
+            describeRate(status.report),
             static_cast<std::int64_t>(status.report.configurationVersion)};
 }
 
 query_result showHosts(const query_words &, const sidecar_view &view)
 {
     query_result result = makeResult(query_status::ok, std::to_string(view.hosts.size()) + " other hosts are known");
-    query_table table{"hosts", {"host", "data_center", "service", "link", "server", "leaving", "in_use", "waiting", "limit", "configuration"}, {}};
+    query_table table{"hosts", {"host", "data_center", "service", "link", "server", "leaving", "in_use", "waiting", "limit", "max_rate", "configuration"}, {}};
     for (const remote_host_status &status : view.hosts) {
         table.rows.push_back(rowOf(status));
     }
@@ -112,7 +127,8 @@
 {
     return makeResult(query_status::ok,
                       "server " + std::string(toString(view.own.server)) + "; " + std::to_string(view.own.inUse) + " of " + std::to_string(view.own.limit)
-                          + " slots in use, " + std::to_string(view.own.waiting) + " waiting; mean run " + std::to_string(view.own.meanRun.count) + " ms");
+                          + " slots in use, " + std::to_string(view.own.waiting) + " waiting; mean run " + std::to_string(view.own.meanRun.count)
+                          + " ms; at most " + describeRate(view.own) + " requests a second by its answers" + (view.own.statement.leaving ? "; leaving" : ""));
 }
 
 query_result showHelp(const query_words &words, const sidecar_view &view);
--- a/tests/unit/server_leaving_test.cpp
+++ b/tests/unit/server_leaving_test.cpp
@@ -48,8 +48,13 @@
     fleet.runFor(clock_ms{2'500}); // Until the link is up again and the restarted host has a configuration.
     for (int number = 0; number < 5; ++number) {
         CHECK(fleet.call(entry, "/feebox/").message.status == 503);
+        CHECK(fleet.call(target, "/feebox/").message.status == 503); // Told by the other host.
     }
     CHECK(target.served.size() == 1);
+    fleet.platform.isDown = false;
+    CHECK(fleet.eventually([&hosts] {
+        return hosts.fleet.platform.holds("cicadamux-departures", "host-2");
+    }));
 }
 
 TEST_CASE("a new incarnation of a server that has left is used and other values of the header say nothing")
