Fix: A mirror lists again after an answer that violates the protocol (CONFIG, the daemon's store)

The daemon's store says that its cursor has gone back by returning a lower one, which the client takes for a bad answer; the mirror then asked for changes since the old cursor for ever, or until the store had given out as many, past what stood in between. Change: such an answer makes the mirror unlisted. Measured: the test failed (the older value after a second) and passes.

--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -108,6 +108,9 @@
         list();
         return;
     }
+    if (result.failure == store_failure::bad_answer) { // Such as a cursor that has gone back.
+        m_isListed = false;
+    }
     if (result.failure != store_failure::none) {
         retry(result.failure);
         return;
--- a/tests/unit/store_restored_test.cpp
+++ b/tests/unit/store_restored_test.cpp
@@ -185,6 +185,48 @@
     mirror->stop();
 }
 
+namespace
+{
+/** A store whose watches violate the protocol, as by a cursor that has gone back. */
+class faulty_watch_store : public fake_platform
+{
+public:
+    using fake_platform::fake_platform;
+
+    void watch(std::string_view, std::uint64_t, clock_ms, store_handler<store_changes> handler) override
+    {
+        handler({store_failure::bad_answer, 0, {}});
+    }
+};
+} // namespace
+
+// A daemon's mirror kept asking for changes since a cursor that its store no longer had.
+TEST_CASE("a mirror lists again after an answer to its watch that violates the protocol")
+{
+    boost::asio::io_context context;
+    faulty_watch_store store(context);
+    store.write("kind", "name", "1");
+    std::string seen;
+    object_mirror_settings settings;
+    settings.kind = "kind";
+    const auto mirror = std::make_shared<object_mirror>(
+        context,
+        store,
+        settings,
+        [&seen](const std::map<std::string, stored_object> &objects) {
+            seen = objects.at("name").value;
+        },
+        threadRandom);
+    mirror->start();
+    context.run_for(std::chrono::milliseconds(20));
+    CHECK(seen == "1");
+    store.write("kind", "name", "2");
+    context.restart();
+    context.run_for(std::chrono::milliseconds(1'000));
+    CHECK(seen == "2");
+    mirror->stop();
+}
+
 TEST_CASE("an era rises when the store comes back and malformed values change nothing")
 {
     store_era era;
