Fix: A departure is recorded in a store that replaces the one before (DRAIN)

A change of the store's address took the record in the old store for one in the new. Change: the departure is recorded again, as after a return from a copy. Measured: the test failed (no record in 20 s) and passes.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -404,6 +404,7 @@
     m_store.replace(m_core.adapter.makeStore(m_context, m_core.settings.platformAddress, storeOptions()));
     m_configuration.refresh();
     m_directory.refresh();
+    m_departures->repeat(); // It may hold other contents.
 }
 
 void sidecar::upstreamsChanged()
--- a/tests/unit/settings_change_test.cpp
+++ b/tests/unit/settings_change_test.cpp
@@ -167,3 +167,18 @@
         CHECK(budget.take("feebox", now + clock_ms{2 * window}));
     }
 }
+
+TEST_CASE("a departure is recorded in a new store too (DRAIN)")
+{
+    holding_host host(4);
+    auto &[fleet, held, entry] = host;
+    fleet.beat(entry, "i-1", 4, "draining");
+    REQUIRE(fleet.platform.holds("cicadamux-departures", entry.name));
+    fleet.platform.erase("cicadamux-departures", entry.name); // The new store doesn't have it.
+    daemon_settings fresh = entry.settings;
+    fresh.platformAddress = "127.0.0.1:9";
+    entry.running->applySettings(fresh);
+    CHECK(fleet.eventually([&host] {
+        return host.fleet.platform.holds("cicadamux-departures", host.entry.name);
+    }));
+}
