Codechange: Lint findings of the new tests, and a bound on the lines on notices

Cause: the linter's first run over the new files; a faulty server that states another rate in each answer could have written a line for each. Change: captures, reserved vectors; server_notice counts against the bound of the lines on failures.

--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -390,7 +390,7 @@
     const server_notice notice = readServerNotice(response.headers, m_core.adapter.headers);
     const bool isSigned = findHeader(response.headers, m_core.adapter.headers.signature).has_value();
     const bool isUsable = notice.rate == rate_statement::stated || (notice.rate == rate_statement::none && isSigned);
-    if (!(notice == m_lastNotice)) {
+    if (!(notice == m_lastNotice) && m_core.log.mayLogFailure()) {
         logEvent(notice.rate == rate_statement::unreadable ? log_level::warning : log_level::info,
                  "server_notice",
                  {{"server", call.serverId},
--- a/tests/unit/server_leaving_test.cpp
+++ b/tests/unit/server_leaving_test.cpp
@@ -14,7 +14,7 @@
     return [value](const std::shared_ptr<test::http_exchange> &exchange) {
         http_message answer = sidecar_fleet::goodAnswer(exchange->request());
         answer.headers.push_back({"x-leaving", value});
-        exchange->answer(std::move(answer));
+        exchange->answer(answer);
     };
 }
 } // namespace
@@ -71,8 +71,8 @@
             fleet.beat(target, "i-2", 4);
             fleet.beat(target, "i-2", 4); // Its start time isn't later, so that one heartbeat isn't enough.
         }
-        CHECK(fleet.eventually([&fleet, &entry] {
-            return fleet.call(entry, "/feebox/").message.status == 200;
+        CHECK(fleet.eventually([&hosts] {
+            return hosts.fleet.call(hosts.entry, "/feebox/").message.status == 200;
         }));
     }
 }
--- a/tests/unit/server_limit_test.cpp
+++ b/tests/unit/server_limit_test.cpp
@@ -21,7 +21,7 @@
     return [rate](const std::shared_ptr<test::http_exchange> &exchange) {
         http_message answer = sidecar_fleet::goodAnswer(exchange->request());
         answer.headers.push_back({"x-rate", rate});
-        exchange->answer(std::move(answer));
+        exchange->answer(answer);
     };
 }
 
@@ -30,6 +30,7 @@
 {
     constexpr int requests = 100;
     std::vector<std::shared_ptr<std::optional<http_reply>>> replies;
+    replies.reserve(requests);
     for (int sent = 0; sent < requests; ++sent) {
         replies.push_back(fleet.send(entry, "/feebox/", clock_ms{5'000}));
         fleet.runFor(clock_ms{20});
@@ -69,13 +70,13 @@
     two_hosts hosts(true, answerWithRate(std::to_string(statedRate)));
     auto &[fleet, entry, target] = hosts;
     REQUIRE(fleet.call(entry, "/feebox/").message.status == 200);
-    target.serve
-        = [&fleet, answer = target.serve](const std::shared_ptr<test::http_exchange> &exchange) { // Slow, so that many requests arrive before an answer.
-              const auto timer = std::make_shared<boost::asio::steady_timer>(fleet.context, std::chrono::milliseconds(300));
-              timer->async_wait([timer, exchange, answer](boost::system::error_code) {
-                  answer(exchange);
-              });
-          };
+    target.serve = [&context = hosts.fleet.context,
+                    answer = target.serve](const std::shared_ptr<test::http_exchange> &exchange) { // Slow, so that many requests arrive before an answer.
+        const auto timer = std::make_shared<boost::asio::steady_timer>(context, std::chrono::milliseconds(300));
+        timer->async_wait([timer, exchange, answer](boost::system::error_code) {
+            answer(exchange);
+        });
+    };
     fleet.restart(target);
     fleet.beat(target, "i-1", 60);
     REQUIRE(fleet.ready());
@@ -83,6 +84,7 @@
     const std::size_t before = target.served.size();
     std::vector<std::shared_ptr<std::optional<http_reply>>> replies;
     constexpr int requests = 60;
+    replies.reserve(requests);
     for (int sent = 0; sent < requests; ++sent) {
         replies.push_back(fleet.send(entry, "/feebox/", clock_ms{5'000}));
     }
@@ -133,8 +135,8 @@
     fleet.beat(target, "i-1", 4, "gone");
     fleet.beat(target, "i-2", 4);
     fleet.beat(target, "i-2", 4); // Its start time isn't later, so that one heartbeat isn't enough.
-    REQUIRE(fleet.eventually([&fleet, &entry] {
-        return fleet.call(entry, "/feebox/").message.status == 200;
+    REQUIRE(fleet.eventually([&hosts] {
+        return hosts.fleet.call(hosts.entry, "/feebox/").message.status == 200;
     }));
     CHECK(fleet.call(entry, "/feebox/").message.status == 200);
 }
