Fix: The test of a stated rate covers a rate of 0

Cause: the row rate_least wasn't seen failing: no seed drew a rate near 0. Change: the first seed's rate is 0, and more than the one call that the start allows has to be admitted. Measured: passes; fails with the least rate switched off (1 call in 20 s).

--- a/tests/unit/slot_queue_test.cpp
+++ b/tests/unit/slot_queue_test.cpp
@@ -193,7 +193,7 @@
         slot_queue queue(slot_queue_settings{});
         std::vector<slot_decision> decisions;
         queue.setSlots(60, start, decisions);
-        const double rate = std::uniform_real_distribution<double>(0, 40)(random);
+        const double rate = seed == 1 ? 0 : std::uniform_real_distribution<double>(0, 40)(random);
         queue.setRate(rate, start, decisions);
         std::vector<clock_ms> admitted;
         std::uint64_t next = 0;
@@ -218,7 +218,7 @@
         }
         constexpr double seconds = 20;
         CHECK(static_cast<double>(admitted.size()) >= 0.8 * rate * seconds - 2);
-        CHECK(!admitted.empty()); // Also at a rate of nearly 0: only an answer can lift it.
+        CHECK(admitted.size() > 1); // Also at a rate of 0: only an answer can lift it.
     }
 }
 
