Fix: The test of a new incarnation's rate looks before its first answer

Cause: the row rate_of_incarnation wasn't seen failing: the new incarnation's first answer lifts the rate anyway. Change: its requests are held, and both have to arrive before the first answer.

--- a/tests/unit/server_limit_test.cpp
+++ b/tests/unit/server_limit_test.cpp
@@ -131,14 +131,17 @@
     REQUIRE(fleet.call(entry, "/feebox/").message.status == 200); // States the rate.
     REQUIRE(fleet.call(entry, "/feebox/").message.status == 200); // Takes the one turn.
     CHECK(fleet.call(entry, "/feebox/").message.status == 503);
-    target.serve = sidecar_fleet::answerWell;
+    std::vector<std::shared_ptr<test::http_exchange>> held;
+    target.serve = [&held](const std::shared_ptr<test::http_exchange> &exchange) {
+        held.push_back(exchange);
+    };
     fleet.beat(target, "i-1", 4, "gone");
     fleet.beat(target, "i-2", 4);
     fleet.beat(target, "i-2", 4); // Its start time isn't later, so that one heartbeat isn't enough.
-    REQUIRE(fleet.eventually([&hosts] {
-        return hosts.fleet.call(hosts.entry, "/feebox/").message.status == 200;
-    }));
-    CHECK(fleet.call(entry, "/feebox/").message.status == 200);
+    fleet.runFor(clock_ms{100}); // Until the other host has heard of it.
+    const std::vector replies = {fleet.send(entry, "/feebox/", clock_ms{5'000}), fleet.send(entry, "/feebox/", clock_ms{5'000})};
+    fleet.runFor(clock_ms{500});
+    CHECK(held.size() == replies.size()); // Both before its first answer.
 }
 
 TEST_CASE("what is remembered of backend servers is bounded and an answer without a rate ends it")
