Review case 1, now: a second copy of a refusal makes a payment run twice (TWICE)

Takes the place of silent connections to the store (CONFIG), which stays in the report; the others are renumbered: 2 chunked bodies, 3 slow readers, 4 HEAD, 5 DRAIN. Seen: a grey upstream sheds a part of its requests, and of such a refusal, which has no id, a second copy arrives where the answer to the next request is expected. Code at fault: server_gate::send() (src/sidecar/server_gate.cpp): isOwn takes an answer without an id for the awaited one also on a connection that was in use before.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,96 +1,63 @@
-"""Silent connections to the store: all sidecars keep to an old configuration until their watches time out."""
+"""A server that has left is in use again after the sidecars were restarted in turn and one of its heartbeats came late."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
 import fleet as standin  # noqa: E402
 
+DRAIN = 2.0  # Seconds, bound `drain`.
 CONTACT = 3.0  # Seconds, bound `contact`.
-APPLY = 2.0  # Seconds, bound `configApply`.
-
-
-class Proxy:
-    """Stands between the sidecars and the store. Once silenced, it forwards nothing more on the connections open by then."""
-
-    def __init__(self, address, target):
-        self.address, self.target = address, target
-        self.round = 0
-        self.open = 0
-
-    async def start(self):
-        ip, port = self.address.rsplit(":", 1)
-        self.server = await asyncio.start_server(self.serve, ip, int(port))
-
-    async def serve(self, reader, writer):
-        began = self.round
-        ip, port = self.target.rsplit(":", 1)
-        there, back = await asyncio.open_connection(ip, int(port))
-        self.open += 1
-
-        async def copy(source, sink):
-            try:
-                while part := await source.read(65536):
-                    if self.round == began:
-                        sink.write(part)
-                        await sink.drain()
-            except (ConnectionError, OSError):
-                pass
-
-        copies = [asyncio.create_task(copy(reader, back)), asyncio.create_task(copy(there, writer))]
-        try:
-            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
-            if self.round != began:
-                await copies[0]  # Silent: open until the sidecar closes it.
-        finally:
-            self.open -= 1
-            back.close()
-            writer.close()
+GAP = 1.0  # Seconds between two SIGTERMs.
 
 
 async def play(fleet, trouble):
-    for zone in "ab":
-        fleet.add(zone, "old", work=0.03)
-    for zone in "ab":
-        fleet.add(zone, "new", work=0.03)
-
-    def routes(service):
-        return [standin.route("r-fee", "fee.example", "/fee/", "non_idempotent", service, timeout="3000ms")]
-
-    real = fleet.store.address
-    ip, port = real.rsplit(":", 1)
-    proxy = Proxy(f"{fleet.ip(201)}:{port}", real)
-    await fleet.configure(7, routes("old"), ["old", "new"])
-    await proxy.start()
-    fleet.store_address = proxy.address
+    first, leaving = fleet.add("a", "fees", work=0.05)
+    fleet.add("b", "fees", work=0.05)
+    fleet.add("a", "maps")
+    await fleet.configure(7, [standin.route("r-fee", "fee.example", "/fee/", "non_idempotent", "fees", timeout="3000ms"),
+                              standin.route("r-map", "map.example", "/map/", "idempotent", "maps")], ["fees", "maps"])
     await fleet.start()
     await fleet.until_ready()
+    fleet.is_first = False
     await asyncio.sleep(5)
     sent = {}
     clients = [asyncio.create_task(standin.pay_on_new_connections(fleet, machine, sent)) for machine in fleet.machines]
     await asyncio.sleep(1)
-    fleet.record.write("open connections to the store", count=proxy.open)
-    if trouble:
-        proxy.round += 1
-        fleet.record.say("the open connections to the store go silent; new ones work")
-    silent_at = fleet.record.now()
-    await asyncio.sleep(CONTACT + 1)
-    await fleet.configure(8, routes("new"), ["old", "new"])
+
+    # The upstream leaves: a last heartbeat that will arrive late, then the DELETE, which is acknowledged. It goes on serving.
+    leaving.beating = False
+    late = leaving.announcement()
+    fleet.record.write("heartbeat sent, to arrive late", server=leaving.id)
+    answer = await standin.call(first.control, "DELETE", f"{standin.PREFIX}instances/{leaving.id}")
     acknowledged = fleet.record.now()
-    fleet.record.say(f"version 8 is acknowledged {acknowledged - silent_at:.1f} s later: it moves the route to another service")
-    await asyncio.sleep(40)
+    fleet.record.say(f"{first.name} acknowledged the DELETE of its upstream {leaving.id}: {answer[0] if answer else None}")
+    if not answer or answer[0] != 200:
+        return 2
+    if trouble:
+        for machine in fleet.machines:  # roll_term: one at a time.
+            machine.signal(signal.SIGTERM)
+            await asyncio.sleep(GAP)
+        while any(machine.starts < 2 for machine in fleet.machines):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.3)
+    else:
+        await asyncio.sleep(5.5)
+    status = await leaving.beat(late)
+    fleet.record.say(f"the late heartbeat arrives {fleet.record.now() - acknowledged:.1f} s after the DELETE was acknowledged: {status}")
+    await asyncio.sleep(8)
     for task in clients:
         task.cancel()
-    old = [(sent[request], request) for upstream in fleet.upstreams[:2] for request in upstream.runs
-           if request in sent and sent[request] > acknowledged + APPLY]
-    new = [sent[request] for upstream in fleet.upstreams[2:] for request in upstream.runs if request in sent]
-    for at, request in sorted(old):
-        fleet.record.write("run by the old service", request=request, sent_after_ack=f"{at - acknowledged:.2f}")
-    last = max(at for at, _ in old) - acknowledged if old else 0
-    fleet.record.say(f"requests sent over {APPLY} s after the acknowledgement and run by the old service: {len(old)}, the last sent {last:.1f} s after it; "
-                     f"run by the new service: {len(new)}, the first sent {min(new) - acknowledged if new else 0:.1f} s after it")
-    return 1 if old else 0
+    in_touch = max(machine.started_at for machine in fleet.machines) + CONTACT
+    late_runs = [(request, run) for request, runs in leaving.runs.items() for run in runs
+                 if request in sent and sent[request] > acknowledged + DRAIN and sent[request] > in_touch]
+    for request, run in late_runs:
+        fleet.record.write("run at the server that left", request=request, sent=f"{sent[request]:.3f}", run=f"{run:.3f}",
+                           after_ack=f"{run - acknowledged:.2f}")
+    fleet.record.say(f"requests that reached the server that left, sent over {DRAIN} s after the acknowledgement by machines in touch: {len(late_runs)}")
+    return 1 if late_runs else 0
 
 
 standin.run_case(Path(__file__).parent, play)
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -385,6 +385,7 @@
         self.store_address = self.store.address  # As the machines know it.
         self.machines = []
         self.upstreams = []
+        self.refused = []  # Payments on kept connections that were answered 503.
 
     def ip(self, number):
         return f"{self.network}.{number}"
@@ -518,6 +519,8 @@
             counts[status] = counts.get(status, 0) + 1
             runs = [run for upstream in fleet.upstreams for run in upstream.runs.get(request, [])]
             fleet.record.write("payment", request=request, answer=status, run_at=",".join(f"{run:.3f}" for run in runs) or "no")
+            if status == "503":
+                fleet.refused.append(request)
             if status == "cut":
                 if runs:
                     lost.append(request)
@@ -534,8 +537,14 @@
 
     async def whole():
         fleet = Fleet(folder)
+        playing = asyncio.create_task(play(fleet, trouble))
+        for which in (signal.SIGINT, signal.SIGTERM):  # The processes are ended also when the script is.
+            asyncio.get_running_loop().add_signal_handler(which, playing.cancel)
         try:
-            return await asyncio.wait_for(play(fleet, trouble), 110)
+            return await asyncio.wait_for(playing, 110)
+        except asyncio.CancelledError:
+            fleet.record.say("ended by a signal")
+            return 2
         except Exception as failure:  # The case couldn't run.
             fleet.record.say(f"couldn't run: {type(failure).__name__} {failure}")
             return 2
