--- a/review/standin-2/harness.h
+++ b/review/standin-2/harness.h
@@ -444,6 +444,14 @@
         change("config", "main", spec, false);
     }
 
+    /** While it is away, the store answers every call with 503. */
+    void setAway(bool isAway)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isAway = isAway;
+        m_changed.notify_all();
+    }
+
     /** @return The spec of an object, or nothing. */
     std::string spec(const std::string &kind, const std::string &name)
     {
@@ -552,6 +560,9 @@
         const std::string kind = path.substr(0, slash);
         std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
         std::unique_lock lock(m_mutex);
+        if (m_isAway) {
+            return reply(503, "{}");
+        }
         if (request.method() == "GET" && !parameter(query, "watch").empty()) {
             return watch(lock, kind, std::stoull(parameter(query, "watch")), std::stoll("0" + parameter(query, "waitMs")));
         }
@@ -595,6 +606,9 @@
                         + format(each.name, each.content) + "}";
                 }
             }
+            if (m_isAway) {
+                return reply(503, "{}");
+            }
             if (!events.empty() || nowMs() >= until || m_isStopped) {
                 return reply(200, R"({"events":[)" + events + R"(],"atRev":)" + std::to_string(m_revision) + "}");
             }
@@ -608,6 +622,7 @@
     std::vector<event> m_events;
     std::uint64_t m_revision = 10;
     bool m_isStopped = false;
+    bool m_isAway = false;
     listener m_listener;
 };
 
@@ -661,7 +676,7 @@
     for (int attempt = 0; attempt < 100; ++attempt) {
         const std::string network = "127." + std::to_string(2 + device() % 250) + "." + std::to_string(device() % 250) + ".";
         bool isFree = true;
-        for (int host = 1; host <= 8 && isFree; ++host) {
+        for (int host = 1; host <= 24 && isFree; ++host) {
             for (const int port : {7620, 8300, 8301, 8302, 8304, 8306, 8309, 9464}) {
                 isFree = isFree && canBind(network + std::to_string(host) + ":" + std::to_string(port));
             }
@@ -723,6 +738,25 @@
         return {{"Cicadamux-Request-Id", request.header("Cicadamux-Request-Id")}, {"Cicadamux-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"}};
     }
 
+    /** Leaves as an upstream that never reports `draining`: DELETE first; it serves on. @return Whether it was acknowledged. */
+    bool leave()
+    {
+        m_isSilent = true;
+        const auto control = connectTo(m_host.control());
+        if (!control) {
+            return false;
+        }
+        control->send("DELETE /cicadamux/instances/" + m_id + " HTTP/1.1\r\nHost: control\r\n\r\n");
+        const auto answer = control->read(1'000);
+        return answer && answer->status() == 200;
+    }
+
+    /** The heartbeat after the last one, which was sent before the upstream left and arrives only now. */
+    bool sendLateHeartbeat()
+    {
+        return heartbeat(m_sequence + 1);
+    }
+
     std::atomic<int> requests{0}; ///< Arrived, other than health checks.
 
 private:
@@ -747,11 +781,10 @@
 
     void sendHeartbeats()
     {
-        std::uint64_t sequence = 0;
         std::int64_t next = 0;
         while (!m_isStopped) {
-            if (nowMs() >= next) {
-                const bool isAcknowledged = heartbeat(++sequence);
+            if (!m_isSilent && nowMs() >= next) {
+                const bool isAcknowledged = heartbeat(++m_sequence);
                 next = nowMs() + (isAcknowledged ? 1'500 : 200);
             }
             sleepMs(20);
@@ -779,6 +812,8 @@
     std::string m_id;
     std::int64_t m_born = unixMs();
     std::atomic<bool> m_isStopped{false};
+    std::atomic<bool> m_isSilent{false}; ///< Sends no more heartbeats.
+    std::atomic<std::uint64_t> m_sequence{0};
     listener m_listener;
     std::thread m_heartbeats;
 };
