--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -61,6 +61,23 @@
     bool closed = false;
 };
 
+/** Progress of writing a request. */
+enum class write_progress : std::uint8_t {
+    pending,
+    written,
+    peer_ended, ///< Failed, after the server had ended its direction of the connection.
+    failed ///< Failed for another reason, such as a reset.
+};
+
+/** A reset after the server's end of the stream is the only cause of `broken_pipe` on a connection that this end has not shut down. */
+write_progress progressOf(beast::error_code failure)
+{
+    if (!failure) {
+        return write_progress::written;
+    }
+    return failure == boost::asio::error::broken_pipe ? write_progress::peer_ended : write_progress::failed;
+}
+
 /** One connection, which carries one request at a time. */
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
@@ -164,24 +181,32 @@
         m_foreignAnswers = 0;
         m_interimAnswers = 0;
         m_held = byte_reservation(m_rules.budget);
-        m_isWritten = false;
+        m_writing = write_progress::pending;
+        m_endAwaitsWrite = false;
         const bool readsEarly = m_request.body().size() >= concurrentWriteMinBytes;
         http::async_write(m_stream, m_request, [self = shared_from_this(), readsEarly](beast::error_code failure, std::size_t) {
-            self->m_isWritten = !failure;
+            self->m_writing = progressOf(failure);
             if (readsEarly) {
-                return; // handleRead() reports the outcome.
-            }
-            if (failure) {
+                self->handleEarlyWritten();
+            } else if (failure) {
                 self->finish({http_failure::lost, {}});
-                return;
+            } else {
+                self->read();
             }
-            self->read();
         });
         if (readsEarly) {
             read();
         }
     }
 
+    /** Continues an answer that waits for the outcome of the write; otherwise handleRead() reports the request's outcome. */
+    void handleEarlyWritten()
+    {
+        if (std::exchange(m_endAwaitsWrite, false)) {
+            handleEndOfStream();
+        }
+    }
+
     void read()
     {
         m_parser.emplace();
@@ -216,11 +241,41 @@
             handleInterimAnswer();
             return;
         }
-        const bool isUnframed = m_parser->need_eof();
-        if (isUnframed && !m_rules.acceptsUnframed) {
+        if (m_parser->need_eof()) {
+            handleEndOfStream();
+        } else {
+            handleAnswer();
+        }
+    }
+
+    /**
+     * Handles an answer without a length, which the end of the stream has completed unless that end was a reset. The system reports
+     * a reset once: if the write gets the error, the read only sees the end of the stream.
+     */
+    void handleEndOfStream()
+    {
+        if (!m_rules.acceptsUnframed) {
             finish({http_failure::broken_answer, {}});
-            return;
+        } else if (m_writing == write_progress::pending && !isConnected()) {
+            m_endAwaitsWrite = true; // The write is about to fail; its error tells which came first, the end or the reset.
+        } else if (m_writing == write_progress::failed) {
+            finish({http_failure::broken_answer, {}});
+        } else {
+            handleAnswer();
         }
+    }
+
+    /** @return False after a reset; true while only the server's direction has ended. */
+    bool isConnected()
+    {
+        beast::error_code failure;
+        m_stream.socket().remote_endpoint(failure);
+        return !failure;
+    }
+
+    void handleAnswer()
+    {
+        const bool isUnframed = m_parser->need_eof();
         const bool keepAlive = m_parser->keep_alive();
         auto message = m_parser->release();
         http_result result;
@@ -236,7 +291,8 @@
         if (idleTimeout) {
             m_reusableUntil = steadyNow() + *idleTimeout - clock_ms{idleMarginMs};
         }
-        finishComplete(std::move(result), keepAlive && !isUnframed && m_isWritten && m_foreignAnswers == 0 && m_buffer.size() == 0);
+        const bool isWritten = m_writing == write_progress::written;
+        finishComplete(std::move(result), keepAlive && !isUnframed && isWritten && m_foreignAnswers == 0 && m_buffer.size() == 0);
     }
 
     /** Skips a 1xx response: the final one follows. */
@@ -308,7 +364,8 @@
     byte_reservation m_held; ///< Reservation for the part of the response body that was read.
     int m_interimAnswers = 0; ///< 1xx responses to this request.
     int m_foreignAnswers = 0; ///< Responses to other requests dropped while waiting for this one.
-    bool m_isWritten = false;
+    write_progress m_writing = write_progress::pending; ///< Of the current request.
+    bool m_endAwaitsWrite = false; ///< An answer without a length has ended, but it isn't known yet whether in a reset.
     bool m_connected = false;
 };
 
--- a/tests/support/http_server.cpp
+++ b/tests/support/http_server.cpp
@@ -80,6 +80,17 @@
         });
     }
 
+    void writeAndReset(std::string bytes)
+    {
+        boost::system::error_code ignored;
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        m_output = std::move(bytes);
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](boost::system::error_code, std::size_t) {
+            boost::system::error_code failure;
+            self->m_socket.close(failure);
+        });
+    }
+
     void write(std::string bytes, bool closeAfter)
     {
         m_output = std::move(bytes);
@@ -137,6 +148,13 @@
         }
     }
 
+    void answerBytesAndReset(std::string bytes) override
+    {
+        if (auto connection = std::move(m_connection)) {
+            connection->writeAndReset(std::move(bytes));
+        }
+    }
+
     void close() override
     {
         if (auto connection = std::move(m_connection)) {
--- a/tests/support/http_server_base.h
+++ b/tests/support/http_server_base.h
@@ -32,6 +32,9 @@
     /** Sends the bytes unchanged; the connection is then closed, or reads its next request. */
     virtual void answerBytes(std::string bytes, bool closeAfter) = 0;
 
+    /** Sends the bytes unchanged, then closes the connection with a reset. */
+    virtual void answerBytesAndReset(std::string bytes) = 0;
+
     /** Closes the connection without an answer. */
     virtual void close() = 0;
 };
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -17,6 +17,7 @@
 namespace
 {
 constexpr int receiveTimeout = 5; // Seconds.
+constexpr std::string_view anyLoopbackPort = "127.0.0.1:0";
 
 int makeSocket()
 {
@@ -29,16 +30,19 @@
     return descriptor;
 }
 
-int bindLoopback(std::string &address)
+/** Binds a socket; port 0 stands for a free one and is replaced by it. */
+int bindAddress(std::string &address)
 {
     const int descriptor = makeSocket();
-    sockaddr_in bound{};
-    bound.sin_family = AF_INET;
-    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof bound;
-    if (::bind(descriptor, reinterpret_cast<sockaddr *>(&bound), length) != 0) {
+    const int reuse = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    const auto wanted = detail::parseEndpoint(address);
+    if (::bind(descriptor, wanted.data(), static_cast<socklen_t>(wanted.size())) != 0) {
+        ::close(descriptor);
         throw std::runtime_error("bind() failed");
     }
+    sockaddr_in bound{};
+    socklen_t length = sizeof bound;
     ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&bound), &length);
     address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
     return descriptor;
@@ -64,7 +68,9 @@
 
 raw_socket::~raw_socket()
 {
-    ::close(m_descriptor);
+    if (m_descriptor >= 0) {
+        ::close(m_descriptor);
+    }
 }
 
 bool raw_socket::send(std::string_view bytes)
@@ -84,6 +90,14 @@
     ::shutdown(m_descriptor, SHUT_WR);
 }
 
+void raw_socket::reset()
+{
+    const linger abort{1, 0};
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+    ::close(m_descriptor);
+    m_descriptor = -1;
+}
+
 bool raw_socket::receiveSome(std::string &bytes)
 {
     std::array<char, 4096> buffer{};
@@ -110,7 +124,13 @@
 }
 
 raw_server::raw_server(std::function<void(raw_socket &)> serve)
-    : m_descriptor(bindLoopback(m_address))
+    : raw_server(std::string(anyLoopbackPort), std::move(serve))
+{
+}
+
+raw_server::raw_server(const std::string &address, std::function<void(raw_socket &)> serve)
+    : m_address(address)
+    , m_descriptor(bindAddress(m_address))
 {
     constexpr int backlog = 16;
     ::listen(m_descriptor, backlog);
@@ -143,8 +163,8 @@
 
 std::string unusedAddress()
 {
-    std::string address;
-    ::close(bindLoopback(address));
+    std::string address(anyLoopbackPort);
+    ::close(bindAddress(address));
     return address;
 }
 
--- a/tests/support/raw_socket_base.h
+++ b/tests/support/raw_socket_base.h
@@ -28,6 +28,9 @@
     /** Shuts down the sending direction. */
     void finishSending();
 
+    /** Closes the connection with a reset, which drops what the peer has sent. Nothing but the destructor may follow. */
+    void reset();
+
     /** @return All bytes until the peer closes the connection or a receive times out. */
     std::string receiveAll();
 
@@ -40,11 +43,14 @@
     int m_descriptor;
 };
 
-/** Accepts connections on a free loopback port and passes them to a function, one after the other. */
+/** Accepts connections on a loopback port, a free one unless it is given, and passes them to a function, one after the other. */
 class raw_server
 {
 public:
     explicit raw_server(std::function<void(raw_socket &)> serve);
+
+    /** @param address `127.0.0.1:port` to listen on. */
+    raw_server(const std::string &address, std::function<void(raw_socket &)> serve);
     ~raw_server();
     raw_server(const raw_server &) = delete;
     raw_server &operator=(const raw_server &) = delete;
@@ -53,7 +59,7 @@
     const std::string &address() const;
 
 private:
-    std::string m_address; ///< Set while m_descriptor is initialised, so it must be declared before it.
+    std::string m_address; ///< With port 0 until m_descriptor is initialised, so it must be declared before it.
     int m_descriptor;
     std::thread m_thread;
 };
