Fix: The store's client took a 1xx response for its answer

What callers saw: a store that sends a 1xx response before its answer made the call fail (rejected or bad_answer, also for a write that was done); the answer itself came to nobody. Found when the cause of the broken answers was looked for wherever answers are read.

Cause: the store's client had a reader of its own, without what the one of http_client knows of 1xx responses.

Change: detail::http_answer_reader reads the answers of backend servers and of the store. Behaviour of http_client is unchanged: the same bounds on heads, bodies and 1xx responses, no further read or event for an answer.

"a store's answer without a length is whole at its end and lost at a reset" passed before: handled already, the test stays. The tests of answers without end, late and duplicated answers pass.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,12 +2,12 @@
 
 #include "http/http_client_base.h"
 
+#include "http/http_answer_reader_base.h"
 #include "http/http_endpoint_func.h"
 #include "http/http_fields_func.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,9 +29,6 @@
 
 constexpr std::size_t concurrentWriteMinBytes = 32'768; ///< From this body size on, the response is read while the request is still being written.
 constexpr int maxForeignAnswers = 3; ///< Responses to other requests after which a connection is no longer trusted.
-constexpr int maxInterimAnswers = 8; ///< 1xx responses per request; more come only from a server that never answers.
-constexpr std::size_t readSize = 65'536; ///< Greatest size of one read by Beast, bytes.
-constexpr unsigned firstFinalStatus = 200; ///< Lower statuses announce another response.
 constexpr std::int64_t idleMarginMs = 500; ///< An idle connection is dropped this long before the server's keep-alive timeout, to avoid a race with its close.
 
 using detail::copyHeaders;
@@ -87,7 +84,7 @@
         , m_endpoint(std::move(endpoint))
         , m_limits(limits)
         , m_pool(std::move(pool))
-        , m_buffer(limits.maxHeaderBytes + readSize)
+        , m_reader(m_stream, limits.maxHeaderBytes)
     {
     }
 
@@ -179,7 +176,6 @@
     {
         m_stream.expires_never();
         m_foreignAnswers = 0;
-        m_interimAnswers = 0;
         m_held = byte_reservation(m_rules.budget);
         m_writing = write_progress::pending;
         m_endAwaitsWrite = false;
@@ -209,39 +205,23 @@
 
     void read()
     {
-        m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
-        m_parser->body_limit(m_limits.maxBodyBytes);
-        m_parser->skip(m_request.method() == http::verb::head);
-        m_parser->eager(true);
-        readSome();
-    }
-
-    void readSome()
-    {
-        http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) {
-            if (failure || self->m_parser->is_done()) {
-                self->handleRead(failure);
-            } else if (!self->m_held.tryResize(self->m_parser->get().body().size())) {
-                self->finish({http_failure::memory_exhausted, {}});
-            } else {
-                self->readSome();
-            }
-        });
+        detail::http_answer_hooks hooks;
+        hooks.holds = [this](std::size_t bodyBytes) {
+            return m_held.tryResize(bodyBytes);
+        };
+        hooks.ended = [this](beast::error_code failure) {
+            handleRead(failure);
+        };
+        m_reader.read(shared_from_this(), {m_limits.maxHeaderBytes, m_limits.maxBodyBytes, m_request.method() == http::verb::head}, std::move(hooks));
     }
 
     void handleRead(beast::error_code failure)
     {
-        if (failure) {
-            const bool noBytesReceived = !m_parser->got_some();
-            finish({noBytesReceived ? http_failure::lost : http_failure::broken_answer, {}});
-            return;
-        }
-        if (m_parser->get().result_int() < firstFinalStatus) {
-            handleInterimAnswer();
-            return;
-        }
-        if (m_parser->need_eof()) {
+        if (failure == boost::asio::error::no_memory) {
+            finish({http_failure::memory_exhausted, {}});
+        } else if (failure) {
+            finish({m_reader.hasStarted() ? http_failure::broken_answer : http_failure::lost, {}});
+        } else if (m_reader.answer().need_eof()) {
             handleEndOfStream();
         } else {
             handleAnswer();
@@ -275,9 +255,10 @@
 
     void handleAnswer()
     {
-        const bool isUnframed = m_parser->need_eof();
-        const bool keepAlive = m_parser->keep_alive();
-        auto message = m_parser->release();
+        auto &answer = m_reader.answer();
+        const bool isUnframed = answer.need_eof();
+        const bool keepAlive = answer.keep_alive();
+        auto message = answer.release();
         http_result result;
         result.response.status = message.result_int();
         result.response.headers = copyHeaders(message);
@@ -292,19 +273,7 @@
             m_reusableUntil = steadyNow() + *idleTimeout - clock_ms{idleMarginMs};
         }
         const bool isWritten = m_writing == write_progress::written;
-        finishComplete(std::move(result), keepAlive && !isUnframed && isWritten && m_foreignAnswers == 0 && m_buffer.size() == 0);
-    }
-
-    /** Skips a 1xx response: the final one follows. */
-    void handleInterimAnswer()
-    {
-        ++m_interimAnswers;
-        const bool isUpgrade = m_parser->get().result() == http::status::switching_protocols; // Never requested.
-        if (isUpgrade || m_interimAnswers > maxInterimAnswers) {
-            finish({http_failure::broken_answer, {}});
-        } else {
-            read();
-        }
+        finishComplete(std::move(result), keepAlive && !isUnframed && isWritten && m_foreignAnswers == 0 && !m_reader.hasMoreBytes());
     }
 
     /** Drops a late or duplicate response to another request. */
@@ -355,14 +324,12 @@
     tcp::endpoint m_endpoint;
     http_limits m_limits;
     std::shared_ptr<client_pool> m_pool;
-    beast::flat_buffer m_buffer;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    detail::http_answer_reader m_reader;
     http::request<http::string_body> m_request;
     http_result_handler m_handler;
     http_answer_rules m_rules;
     std::optional<clock_ms> m_reusableUntil; ///< From the `Keep-Alive` header of the last response; nothing if it had none.
     byte_reservation m_held; ///< Reservation for the part of the response body that was read.
-    int m_interimAnswers = 0; ///< 1xx responses to this request.
     int m_foreignAnswers = 0; ///< Responses to other requests dropped while waiting for this one.
     write_progress m_writing = write_progress::pending; ///< Of the current request.
     bool m_endAwaitsWrite = false; ///< An answer without a length has ended, but it isn't known yet whether in a reset.
--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -3,11 +3,11 @@
 #include "store/store_connection_base.h"
 
 #include "core/socket_func.h"
+#include "http/http_answer_reader_base.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -24,7 +24,6 @@
 namespace
 {
 constexpr std::uint32_t maxHeaderBytes = 16'384; ///< Greatest header of an answer.
-constexpr std::size_t readSize = 65'536; ///< Greatest size of one read by Beast, bytes.
 constexpr clock_ms silenceLimit{3'000}; ///< Without it, a watch on a dead connection would miss changes until its own time-out.
 
 std::optional<tcp::endpoint> parseAddress(const std::string &address)
@@ -92,11 +91,10 @@
     beast::tcp_stream m_stream;
     std::optional<tcp::endpoint> m_endpoint;
     std::string m_address;
-    beast::flat_buffer m_buffer{maxHeaderBytes + readSize};
+    http_answer_reader m_reader{m_stream, maxHeaderBytes};
     http::request<http::string_body> m_request;
     std::size_t m_maxAnswerBytes = 0;
     std::string m_eraHeader;
-    std::optional<http::response_parser<http::string_body>> m_parser;
     store_answer_handler m_handler;
 };
 
@@ -149,7 +147,7 @@
         return true;
     }
     m_stream.close();
-    m_buffer.clear();
+    m_reader.clear();
     return false;
 }
 
@@ -178,23 +176,22 @@
 
 void beast_connection::read()
 {
-    m_parser.emplace();
-    m_parser->header_limit(maxHeaderBytes);
-    m_parser->body_limit(m_maxAnswerBytes);
-    http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code failure, std::size_t) {
+    http_answer_hooks hooks;
+    hooks.ended = [this](boost::system::error_code failure) {
         if (failure) {
-            self->fail(failureOf(failure));
+            fail(failureOf(failure));
         } else {
-            self->answered();
+            answered();
         }
-    });
+    };
+    m_reader.read(shared_from_this(), {maxHeaderBytes, m_maxAnswerBytes}, std::move(hooks));
 }
 
 void beast_connection::answered()
 {
     store_answer answer;
-    answer.isReusable = m_parser->keep_alive() && m_buffer.size() == 0;
-    auto response = m_parser->release();
+    answer.isReusable = m_reader.answer().keep_alive() && !m_reader.hasMoreBytes();
+    auto response = m_reader.answer().release();
     answer.status = response.result_int();
     if (!m_eraHeader.empty()) {
         answer.era = std::string(response[m_eraHeader]);
@@ -203,7 +200,7 @@
     m_stream.expires_never();
     if (!answer.isReusable) {
         m_stream.close();
-        m_buffer.clear();
+        m_reader.clear();
     }
     const auto handler = std::exchange(m_handler, nullptr);
     handler(std::move(answer));
@@ -212,7 +209,7 @@
 void beast_connection::fail(store_failure failure)
 {
     m_stream.close();
-    m_buffer.clear();
+    m_reader.clear();
     const auto handler = std::exchange(m_handler, nullptr);
     handler({failure, 0, {}, {}, false});
 }
--- a/tests/unit/store_http_test.cpp
+++ b/tests/unit/store_http_test.cpp
@@ -274,3 +274,27 @@
     CHECK(takeAll(4'000) == 0);
     CHECK(takeAll(500'000) == 60);
 }
+
+TEST_CASE("the store's answer follows its 1xx responses")
+{
+    const std::string body = objectBody("feebox", 3);
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n";
+    CHECK(client_fixture(sendBytes(interim + http_server::format(makeAnswer(200, body)), false)).get("feebox").value.version == 3);
+    CHECK(client_fixture(sendBytes(interim + http_server::format(makeAnswer(200, R"({"version":8})")), false)).put("{}", 7).value == 8);
+    std::string endless;
+    for (int count = 0; count < 100; ++count) {
+        endless += interim;
+    }
+    CHECK(failureOf(client_fixture(sendBytes(endless, false)).get("feebox")) == "bad_answer");
+}
+
+TEST_CASE("a store's answer without a length is whole at its end and lost at a reset")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\n\r\n" + objectBody("feebox", 3);
+    CHECK(client_fixture(sendBytes(answer, true)).get("feebox").value.version == 3);
+    const auto sendAndReset = [&answer](const std::shared_ptr<http_exchange> &exchange) {
+        exchange->answerBytesAndReset(answer);
+    };
+    CHECK(failureOf(client_fixture(sendAndReset).get("feebox")) == "connection_lost");
+    CHECK(failureOf(client_fixture(sendAndReset).put(std::string(900'000, ' ') + "{}", 7)) == "connection_lost");
+}
