Fix: An answer with a status that HTTP doesn't have was taken for one (MIXED)

What callers saw: 600 and 999 reached the callers of the server's own host as answers; over a link the reply was an error of the link, which broke, with every other request on it. 000, 001 and 099 were taken for 1xx responses: the caller waited for a final answer until its limit and got 504, no second server was tried, and what the server sent next was delivered as the answer (200 with a body that belongs to none).

Cause: each status below 200 counted as interim and each from 200 as an answer. HTTP has 100 to 599.

Change: the reader of answers ends with bad_status for any other, as soon as the head is there, which makes it a broken answer: another server where the route allows it, else 502 at once. Both codecs between processes refuse such a status too; the link's already did, the one between daemons did not.

Handled already: the store's client (any status but the known ones is a failure), statuses that aren't three digits.

--- a/src/http/http_answer_reader.cpp
+++ b/src/http/http_answer_reader.cpp
@@ -2,6 +2,8 @@
 
 #include "http/http_answer_reader_base.h"
 
+#include "http/http_status_type.h"
+
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/read_size.hpp>
 
@@ -18,7 +20,6 @@
 {
 constexpr std::size_t readSize = 65'536; ///< Greatest size of one read, bytes.
 constexpr std::string_view endOfHead = "\r\n\r\n";
-constexpr unsigned firstFinalStatus = 200; ///< Lower statuses announce another response.
 constexpr int maxInterimAnswers = 8; ///< 1xx responses per request; more come only from a server that never answers.
 } // namespace
 
@@ -132,7 +133,9 @@
 void http_answer_reader::continueAfterHead()
 {
     const unsigned status = m_parser->get().result_int();
-    if (status < firstFinalStatus) {
+    if (status < http_status::first || status > http_status::last) {
+        end(http::error::bad_status);
+    } else if (status < http_status::firstFinal) {
         skipInterimAnswer();
     } else if (m_parser->is_done()) {
         end({});
--- a/src/http/http_status_type.h
+++ b/src/http/http_status_type.h
@@ -5,6 +5,10 @@
 namespace cicadamux::http_status
 {
 
+constexpr unsigned first = 100; ///< HTTP has no lower status.
+constexpr unsigned firstFinal = 200; ///< Lower statuses announce another response.
+constexpr unsigned last = 599; ///< HTTP has no higher status.
+
 constexpr unsigned ok = 200;
 constexpr unsigned created = 201;
 constexpr unsigned noContent = 204;
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "link/link_codec_func.h"
 
+#include "http/http_status_type.h"
 #include "link.pb.h"
 
 #include <algorithm>
@@ -13,8 +14,6 @@
 namespace
 {
 constexpr double permille = 1'000;
-constexpr unsigned minStatus = 200; ///< Of a final HTTP response.
-constexpr unsigned maxStatus = 599;
 
 using wire_fields = google::protobuf::RepeatedPtrField<link_wire::Field>;
 
@@ -232,7 +231,7 @@
         throw link_error("reply with an unknown outcome, reason or kind of lost call");
     }
     const bool isAnswered = static_cast<call_outcome>(reply.outcome()) == call_outcome::answered;
-    if (reply.status() > maxStatus || (isAnswered && reply.status() < minStatus)) {
+    if (reply.status() > http_status::last || (isAnswered && reply.status() < http_status::firstFinal)) {
         throw link_error("reply with status " + std::to_string(reply.status()));
     }
     link_reply result;
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "peer/peer_codec_func.h"
 
+#include "http/http_status_type.h"
+
 #include <algorithm>
 
 namespace cicadamux
@@ -169,6 +171,10 @@
         throw peer_format_error("the reason doesn't fit the outcome");
     }
     reply.result.status = message.status();
+    const bool isAnswered = reply.result.outcome == call_outcome::answered;
+    if (isAnswered && (message.status() < http_status::firstFinal || message.status() > http_status::last)) {
+        throw peer_format_error("answer with status " + std::to_string(message.status()));
+    }
     reply.result.headers = decodeHeaders(message.headers());
     reply.result.body = std::move(*message.mutable_body());
     reply.result.retriesUnspent = message.retries_unspent();
--- a/tests/unit/broken_answer_test.cpp
+++ b/tests/unit/broken_answer_test.cpp
@@ -1,4 +1,4 @@
-/** @file broken_answer_test.cpp Answers that end in a reset are treated as lost. */
+/** @file broken_answer_test.cpp Answers that end in a reset, or whose status HTTP doesn't have, are treated as lost. */
 
 #include "http/http_client_base.h"
 #include "sidecar_fleet_fake.h"
@@ -119,12 +119,37 @@
 const std::string unframedHead = "HTTP/1.1 200 OK\r\n\r\n";
 const std::string interimHead = "HTTP/1.1 100 Continue\r\n\r\n";
 
+const std::vector<std::string> impossibleStatuses = {"000", "001", "099", "600", "999"};
+
 /** The start of a good answer of a backend server, without its length. */
 std::string signedStart(std::string_view status, std::string_view id)
 {
     return "HTTP/1.1 " + std::string(status) + " x\r\nx-id: " + std::string(id) + "\r\nx-signature: signed\r\n";
 }
 
+/** A backend server's handler that sends a signed answer of its own making, given the request's id. */
+served_handler answerBytesOf(std::function<std::string(std::string_view id)> make)
+{
+    return [make = std::move(make)](const std::shared_ptr<test::http_exchange> &exchange) {
+        exchange->answerBytes(make(headerOf(exchange->request(), "x-id")), false);
+    };
+}
+
+/** The answers that the tests of whole sidecars send: each has to end as a lost one. */
+std::vector<std::function<std::string(std::string_view id)>> brokenAnswers()
+{
+    std::vector<std::function<std::string(std::string_view id)>> answers;
+    for (const std::string &status : impossibleStatuses) {
+        answers.emplace_back([status](std::string_view id) {
+            return signedStart(status, id) + "Content-Length: 4\r\n\r\nbody";
+        });
+    }
+    answers.emplace_back([](std::string_view id) { // The answer that seems to follow is none of the upstream's.
+        return "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n" + signedStart("200", id) + "Content-Length: 4\r\n\r\nbody";
+    });
+    return answers;
+}
+
 } // namespace
 
 TEST_CASE("an answer without a length that is reset while the request is still written is broken (MIXED)")
@@ -185,6 +210,98 @@
     checkWhole(answerAtOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", resetLater), {"PUT", longUpload}, "whole");
 }
 
+TEST_CASE("an answer with a status that HTTP doesn't have is broken at once (MIXED)")
+{
+    std::promise<void> never;
+    const auto holdOpen = [wait = never.get_future().share()](raw_socket &) {
+        wait.wait_for(std::chrono::seconds(4));
+    };
+    for (const std::string &status : impossibleStatuses) {
+        CAPTURE(status);
+        const std::string start = "HTTP/1.1 " + status + " x\r\n";
+        checkBroken(answerAtOnce(start + "Content-Length: 4\r\n\r\nbody", endAndReadOn), {});
+        checkBroken(answerAtOnce(start + "\r\nbody", endAndReadOn), {});
+        checkBroken(answerAtOnce(start + "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", endAndReadOn), {});
+        checkBroken(answerAtOnce(interimHead + start + "Content-Length: 4\r\n\r\nbody", endAndReadOn), {});
+        checkBroken(answerAtOnce(start + "Content-Length: 4\r\n\r\nbody", endAndReadOn), {"HEAD"});
+        checkBroken(answerAtOnce(start + "Content-Length: 4\r\n\r\nbody", endAndReadOn), {"PUT", longUpload});
+    }
+    checkBroken(answerAtOnce("HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", holdOpen), {});
+    checkBroken(answerAtOnce("HTTP/1.1 20 x\r\nContent-Length: 0\r\n\r\n", endAndReadOn), {});
+    checkBroken(answerAtOnce("HTTP/1.1 -20 x\r\nContent-Length: 0\r\n\r\n", endAndReadOn), {});
+    checkBroken(answerAtOnce("HTTP/1.1 2000 x\r\nContent-Length: 0\r\n\r\n", endAndReadOn), {});
+}
+
+TEST_CASE("a sidecar answers a broken answer with 502 and repeats only what may be repeated (MIXED)")
+{
+    two_hosts hosts(false);
+    auto &[fleet, entry, target] = hosts;
+    for (const auto &broken : brokenAnswers()) {
+        CAPTURE(broken("r"));
+        target.serve = answerBytesOf(broken);
+        for (const bool viaLink : {false, true}) {
+            target.served.clear();
+            const http_reply reply = fleet.call(viaLink ? entry : target, "/feebox/", clock_ms{1'000});
+            CHECK(reply.message.status == 502);
+            CHECK(std::string(headerOf(reply.message, "x-signature")).empty());
+            CHECK(target.served.size() == 1);
+        }
+    }
+}
+
+TEST_CASE("a request that may be repeated gets a second server's answer in place of a broken one (MIXED)")
+{
+    sidecar_fleet fleet;
+    sidecar_host &first = fleet.add("feebox");
+    sidecar_host &second = fleet.add("feebox");
+    fleet.configure(makeRoutes(3, {"feebox"}, true, 2));
+    fleet.beat(first, "i-1", 4);
+    fleet.beat(second, "i-2", 4);
+    REQUIRE(fleet.ready());
+    for (const auto &broken : brokenAnswers()) {
+        CAPTURE(broken("r"));
+        bool isFirst = true;
+        const served_handler brokenOnce = [&isFirst, &broken](const std::shared_ptr<test::http_exchange> &exchange) {
+            if (std::exchange(isFirst, false)) {
+                answerBytesOf(broken)(exchange);
+            } else {
+                sidecar_fleet::answerWell(exchange);
+            }
+        };
+        first.serve = brokenOnce;
+        second.serve = brokenOnce;
+        first.served.clear();
+        second.served.clear();
+        const http_reply reply = fleet.call(first, "/feebox/", clock_ms{1'000});
+        CHECK(reply.message.status == 200);
+        CHECK(reply.message.body == "answer to /feebox/");
+        CHECK(first.served.size() + second.served.size() == 2);
+    }
+}
+
+TEST_CASE("a broken answer over a link costs no other request of the link")
+{
+    std::shared_ptr<test::http_exchange> held;
+    two_hosts hosts(false, [&held](const std::shared_ptr<test::http_exchange> &exchange) {
+        held = exchange;
+    });
+    auto &[fleet, entry, target] = hosts;
+    const auto other = fleet.send(entry, "/feebox/other", clock_ms{4'000});
+    REQUIRE(fleet.eventually([&held] {
+        return held != nullptr;
+    }));
+    for (const auto &broken : brokenAnswers()) {
+        CAPTURE(broken("r"));
+        target.serve = answerBytesOf(broken);
+        CHECK(fleet.call(entry, "/feebox/", clock_ms{300}).message.status == 502);
+    }
+    sidecar_fleet::answerWell(held);
+    REQUIRE(fleet.eventually([&other] {
+        return other->has_value();
+    }));
+    CHECK((*other)->message.status == 200);
+}
+
 TEST_CASE("a long upload that is answered early and reset gets 502 from its sidecar and a sound early answer passes whole (MIXED)")
 {
     constexpr std::size_t uploadBytes = 12'000'000;
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -124,6 +124,7 @@
         peer_reply reply;
         reply.attempt = call_id{8};
         reply.result.outcome = call_outcome::answered;
+        reply.result.status = 200;
         handler(std::move(reply));
     });
     CHECK(callOnce(mismatching.address()).first == peer_failure::lost);
@@ -132,6 +133,7 @@
         peer_reply reply;
         reply.attempt = call.attempt;
         reply.result.outcome = call_outcome::answered;
+        reply.result.status = 200;
         reply.result.body = call.request.body;
         handler(std::move(reply));
     });
@@ -183,6 +185,22 @@
     CHECK_THROWS_AS(decodeReply(std::move(inconsistent)), peer_format_error);
 }
 
+TEST_CASE("an answer with a status that HTTP doesn't allow is a typed error (MIXED)")
+{
+    const auto decode = [](unsigned status) {
+        peer_reply reply;
+        reply.result.outcome = call_outcome::answered;
+        reply.result.status = status;
+        return decodeReply(encodeReply(reply));
+    };
+    CHECK(decode(200).result.status == 200);
+    CHECK(decode(599).result.status == 599);
+    for (const unsigned status : {0U, 99U, 100U, 199U, 600U, 999U}) {
+        CAPTURE(status);
+        CHECK_THROWS_AS(decode(status), peer_format_error);
+    }
+}
+
 TEST_CASE("mutated messages decode or are typed errors and nothing else")
 {
     const clock_ms now = steadyNow();
--- a/tests/unit/store_http_test.cpp
+++ b/tests/unit/store_http_test.cpp
@@ -298,3 +298,14 @@
     CHECK(failureOf(client_fixture(sendAndReset).get("feebox")) == "connection_lost");
     CHECK(failureOf(client_fixture(sendAndReset).put(std::string(900'000, ' ') + "{}", 7)) == "connection_lost");
 }
+
+TEST_CASE("a store's answer that HTTP doesn't allow is a bad answer")
+{
+    const std::string body = objectBody("feebox", 3);
+    const std::string rest = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    CHECK(client_fixture(sendBytes("HTTP/1.1 200 OK\r\n" + rest, false)).get("feebox").value.version == 3);
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        CAPTURE(status);
+        CHECK(failureOf(client_fixture(sendBytes("HTTP/1.1 " + status + " x\r\n" + rest, false)).get("feebox")) == "bad_answer");
+    }
+}
