Fix: A line of an answer's head that begins with a blank was joined to the field above (MIXED)

What callers saw: a line such as " Content-Length: 4" or a tab before a name became a part of the field above and was passed on with it, and the answer lost its length, so that the body was whatever came until the connection closed.

Cause: Beast still joins folded lines, which no sender may use since RFC 7230. The line is none of a field's value but a field whose name begins with a blank, from a server in trouble.

Change: the reader of answers looks at the raw head and ends with bad_field for such a line (RFC 9112, section 5.2, lets a gateway answer 502). Both codecs between processes refuse a header whose name is no token or whose value holds a control character, so that one that another version's process lets through isn't written to a caller.

Handled already, by Beast: a blank or a control byte elsewhere in the name or before the colon, an empty name, a line without a colon, CR or LF alone; the tests stay. The codecs' tests fail with their checks off.

--- a/src/http/http_answer_reader.cpp
+++ b/src/http/http_answer_reader.cpp
@@ -21,6 +21,12 @@
 constexpr std::size_t readSize = 65'536; ///< Greatest size of one read, bytes.
 constexpr std::string_view endOfHead = "\r\n\r\n";
 constexpr int maxInterimAnswers = 8; ///< 1xx responses per request; more come only from a server that never answers.
+
+/** @return Whether a line begins with a blank. Beast would append it to the field above (RFC 9112, section 5.2, lets a gateway refuse it). */
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
 } // namespace
 
 http_answer_reader::http_answer_reader(beast::tcp_stream &stream, std::size_t maxHeaderBytes)
@@ -118,13 +124,13 @@
     }
 }
 
-/** @return `need_more` unless the buffer holds the whole head. */
+/** @return `need_more` unless the buffer holds the whole head; `bad_field` if it has a folded line. */
 beast::error_code http_answer_reader::checkHead()
 {
     const std::string_view bytes(static_cast<const char *>(m_buffer.data().data()), m_buffer.size());
     const std::size_t found = bytes.find(endOfHead, m_searched);
     if (found != std::string_view::npos) {
-        return {};
+        return hasFoldedLine(bytes.substr(0, found)) ? http::error::bad_field : beast::error_code();
     }
     m_searched = bytes.size() - std::min(bytes.size(), endOfHead.size() - 1);
     return bytes.size() < m_bounds.maxHeaderBytes ? http::error::need_more : http::error::header_limit;
--- a/src/http/http_headers.cpp
+++ b/src/http/http_headers.cpp
@@ -16,8 +16,29 @@
 {
     return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
 }
+
+/** RFC 9110, section 5.6.2. */
+bool isTokenCharacter(char character)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    const char lowered = lower(character);
+    return (lowered >= 'a' && lowered <= 'z') || (character >= '0' && character <= '9') || symbols.find(character) != std::string_view::npos;
+}
+
+bool isControl(char character)
+{
+    constexpr char firstPrintable = ' ';
+    constexpr char deleteCharacter = 0x7f;
+    const bool isAscii = static_cast<signed char>(character) >= 0;
+    return isAscii && (character < firstPrintable || character == deleteCharacter) && character != '\t';
+}
 } // namespace
 
+bool isWellFormed(const http_field &field)
+{
+    return !field.name.empty() && std::ranges::all_of(field.name, isTokenCharacter) && std::ranges::none_of(field.value, isControl);
+}
+
 bool sameHeaderName(std::string_view left, std::string_view right)
 {
     return std::ranges::equal(left, right, {}, lower, lower);
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -86,6 +86,9 @@
 /** @return Whether two header names are equal, ignoring case. */
 bool sameHeaderName(std::string_view left, std::string_view right);
 
+/** @return Whether HTTP allows the header: its name is a token, and its value has no control characters but tabs. */
+bool isWellFormed(const http_field &field);
+
 /** @return Whether a header applies to a single connection and must not be forwarded. */
 bool isHopByHop(std::string_view name);
 
--- a/src/link/link_codec.cpp
+++ b/src/link/link_codec.cpp
@@ -3,6 +3,7 @@
 #include "link/link_codec_func.h"
 
 #include "http/http_status_type.h"
+#include "http/http_type.h"
 #include "link.pb.h"
 
 #include <algorithm>
@@ -243,6 +244,9 @@
     result.lostCall = static_cast<call_loss>(reply.lost_call());
     result.status = reply.status();
     result.headers = decodeFields(reply.headers());
+    if (!std::ranges::all_of(result.headers, isWellFormed)) {
+        throw link_error("reply with a malformed header");
+    }
     result.body = std::move(*reply.mutable_body());
     result.report = decodeReport(reply.report());
     return result;
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -3,6 +3,7 @@
 #include "peer/peer_codec_func.h"
 
 #include "http/http_status_type.h"
+#include "http/http_type.h"
 
 #include <algorithm>
 
@@ -171,11 +172,14 @@
         throw peer_format_error("the reason doesn't fit the outcome");
     }
     reply.result.status = message.status();
+    reply.result.headers = decodeHeaders(message.headers());
     const bool isAnswered = reply.result.outcome == call_outcome::answered;
     if (isAnswered && (message.status() < http_status::firstFinal || message.status() > http_status::last)) {
         throw peer_format_error("answer with status " + std::to_string(message.status()));
     }
-    reply.result.headers = decodeHeaders(message.headers());
+    if (!std::ranges::all_of(reply.result.headers, isWellFormed)) {
+        throw peer_format_error("answer with a malformed header");
+    }
     reply.result.body = std::move(*message.mutable_body());
     reply.result.retriesUnspent = message.retries_unspent();
     for (const wire::Level &level : message.levels()) {
--- a/tests/unit/broken_answer_test.cpp
+++ b/tests/unit/broken_answer_test.cpp
@@ -1,4 +1,4 @@
-/** @file broken_answer_test.cpp Answers that end in a reset, or whose status HTTP doesn't have, are treated as lost. */
+/** @file broken_answer_test.cpp Answers that end in a reset, or whose head HTTP doesn't allow, are treated as lost. */
 
 #include "http/http_client_base.h"
 #include "sidecar_fleet_fake.h"
@@ -121,6 +121,35 @@
 
 const std::vector<std::string> impossibleStatuses = {"000", "001", "099", "600", "999"};
 
+/** Heads with a field whose name holds a blank or a control byte, or is empty. */
+std::vector<std::string> malformedHeads()
+{
+    const std::vector<std::string> lines = {"X A: b",
+                                            "X-A : b",
+                                            "X-A\t: b",
+                                            " X-A: b",
+                                            "\tX-A: b",
+                                            "Content-Length : 4",
+                                            " Content-Length: 4",
+                                            "\tContent-Length: 4",
+                                            "Content Length: 4",
+                                            std::string("X\0A: b", 6),
+                                            "X\001A: b",
+                                            "X\177A: b",
+                                            "X\rA: b",
+                                            "X\nA: b",
+                                            ": b",
+                                            " : b",
+                                            "X-A"};
+    std::vector<std::string> heads;
+    for (const std::string &line : lines) {
+        heads.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n"); // Directly below the status line.
+        heads.push_back("HTTP/1.1 200 OK\r\nx-first: 1\r\n" + line + "\r\n"); // Below another field.
+        heads.push_back("HTTP/1.1 200 OK\r\nx-empty:\r\n" + line + "\r\nx-last: 1\r\n");
+    }
+    return heads;
+}
+
 /** The start of a good answer of a backend server, without its length. */
 std::string signedStart(std::string_view status, std::string_view id)
 {
@@ -147,6 +176,11 @@
     answers.emplace_back([](std::string_view id) { // The answer that seems to follow is none of the upstream's.
         return "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n" + signedStart("200", id) + "Content-Length: 4\r\n\r\nbody";
     });
+    for (const std::string line : {"X A: b", "X-A : b", " X-A: b", "X\001A: b"}) {
+        answers.emplace_back([line](std::string_view id) {
+            return signedStart("200", id) + line + "\r\nContent-Length: 4\r\n\r\nbody";
+        });
+    }
     return answers;
 }
 
@@ -232,6 +266,18 @@
     checkBroken(answerAtOnce("HTTP/1.1 2000 x\r\nContent-Length: 0\r\n\r\n", endAndReadOn), {});
 }
 
+TEST_CASE("an answer with a blank or a control byte in the name of a field is broken (MIXED)")
+{
+    for (const std::string &head : malformedHeads()) {
+        CAPTURE(head);
+        checkBroken(answerAtOnce(head + "\r\nbody and more", endAndReadOn), {});
+        checkBroken(answerAtOnce(head + "Content-Length: 4\r\n\r\nbody", endAndReadOn), {});
+        checkBroken(answerAtOnce(interimHead + head + "Content-Length: 4\r\n\r\nbody", endAndReadOn), {});
+        checkBroken(answerAtOnce(head + "Content-Length: 4\r\n\r\n", endAndReadOn), {"HEAD"});
+    }
+    checkBroken(answerAtOnce("HTTP/1.1 103 Early Hints\r\nx-first: 1\r\n X-A: b\r\n\r\n" + unframedHead + "body", endAndReadOn), {});
+}
+
 TEST_CASE("a sidecar answers a broken answer with 502 and repeats only what may be repeated (MIXED)")
 {
     two_hosts hosts(false);
--- a/tests/unit/link_test.cpp
+++ b/tests/unit/link_test.cpp
@@ -235,3 +235,19 @@
     CHECK_THROWS_AS(decodeMessage("\xff\xff\xff"), link_error);
     CHECK_THROWS_AS(decodeMessage(""), link_error);
 }
+
+TEST_CASE("a reply with a header that HTTP doesn't allow is rejected with an error (MIXED)")
+{
+    link_reply reply;
+    reply.outcome = call_outcome::answered;
+    reply.status = 200;
+    reply.headers = {{"x-sound!", "a\tb \xe9"}};
+    CHECK_NOTHROW(decodeMessage(encodeFrame(reply).substr(frameHeaderSize)));
+    const std::vector<http_field> malformed
+        = {{"x a", "b"}, {"x ", "b"}, {" x", "b"}, {"x\t", "b"}, {"x\001", "b"}, {"x\r\ny", "b"}, {"x:", "b"}, {"", "b"}, {"x\177", "b"}, {"x", "a\r\nb: c"}};
+    for (const http_field &field : malformed) {
+        CAPTURE(field.name);
+        reply.headers = {{"x-first", "a"}, field};
+        CHECK_THROWS_AS(decodeMessage(encodeFrame(reply).substr(frameHeaderSize)), link_error);
+    }
+}
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -185,20 +185,27 @@
     CHECK_THROWS_AS(decodeReply(std::move(inconsistent)), peer_format_error);
 }
 
-TEST_CASE("an answer with a status that HTTP doesn't allow is a typed error (MIXED)")
+TEST_CASE("an answer with a status or a header that HTTP doesn't allow is a typed error (MIXED)")
 {
-    const auto decode = [](unsigned status) {
+    const auto decode = [](unsigned status, const http_field &field) {
         peer_reply reply;
         reply.result.outcome = call_outcome::answered;
         reply.result.status = status;
+        reply.result.headers = {field};
         return decodeReply(encodeReply(reply));
     };
-    CHECK(decode(200).result.status == 200);
-    CHECK(decode(599).result.status == 599);
+    const http_field sound{"x-sound", "value"};
+    CHECK(decode(200, sound).result.status == 200);
+    CHECK(decode(599, sound).result.status == 599);
     for (const unsigned status : {0U, 99U, 100U, 199U, 600U, 999U}) {
         CAPTURE(status);
-        CHECK_THROWS_AS(decode(status), peer_format_error);
+        CHECK_THROWS_AS(decode(status, sound), peer_format_error);
     }
+    for (const std::string name : {"x y", " x", "x ", "x\x01", "x\r\n", ""}) {
+        CAPTURE(name);
+        CHECK_THROWS_AS(decode(200, {name, "value"}), peer_format_error);
+    }
+    CHECK_THROWS_AS(decode(200, {"x", "a\r\nb: c"}), peer_format_error);
 }
 
 TEST_CASE("mutated messages decode or are typed errors and nothing else")
--- a/tests/unit/store_http_test.cpp
+++ b/tests/unit/store_http_test.cpp
@@ -308,4 +308,8 @@
         CAPTURE(status);
         CHECK(failureOf(client_fixture(sendBytes("HTTP/1.1 " + status + " x\r\n" + rest, false)).get("feebox")) == "bad_answer");
     }
+    for (const std::string line : {"X A: b", "X-A : b", " X-A: b", "\tX-A: b", "X\001A: b", ": b"}) {
+        CAPTURE(line);
+        CHECK(failureOf(client_fixture(sendBytes("HTTP/1.1 200 OK\r\nx-first: 1\r\n" + line + "\r\n" + rest, false)).get("feebox")) == "bad_answer");
+    }
 }
