Fix: A request that came late in a planned stop was passed on and cut off at its end (LOST)

What callers saw: after SIGTERM a sidecar went on reading requests whose bytes were on their way when the listener closed (a body that comes slowly, the next request on a connection with a longer one), passed them on at any time in the grace, and ended 0.7 s before the kill with whatever was open: a closed connection without an answer, also for requests that may not be repeated. A gate took the calls of other hosts in the same way.

Cause: nothing compared a request's time limit with the end of the process.

Change: from 3 s after the signal on, a request is admitted, and a call taken at a gate, only if its time limit lies 0.2 s or more before the process ends. Otherwise it is refused as not run (reason draining, 503) with Retry-After at that end, which closes its connection as all answers in a stop do. Requests before that are served as they were: theirs are the callers that can't know of the stop yet.

With the fix all pass; with the check of the intake, of the gate, or the comparison with the limit off, the cases named in tests/mutations.txt fail (by hand). "a request that is read in a planned stop and ends before the process is served" passed before and does. The daemon refuses every call in its stop: handled already.

--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -83,6 +83,10 @@
         refuse(responder, outcome_reason::no_upstream, defaultRetryAfter);
         return [] {};
     }
+    if (m_core.wouldBeCutOff(now, now + call.remaining)) {
+        refuse(responder, outcome_reason::draining, defaultRetryAfter);
+        return [] {};
+    }
     byte_reservation body(m_core.heldBytes);
     if (!body.tryResize(call.body.size())) {
         refuse(responder, outcome_reason::daemon_busy, defaultRetryAfter);
@@ -216,7 +220,7 @@
     report.noRoomFor = queue.noRoomFor;
     report.statement = {m_registry.current().incarnation(), m_isHeard, m_rate, m_registry.isLeaving()};
     report.meanRun = queue.meanRun;
-    report.leaving = m_core.stopping;
+    report.leaving = m_core.stop.has_value();
     return report;
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -26,6 +26,7 @@
 constexpr clock_ms logReportPeriod{1'000};
 constexpr double noRateGauge = -1; ///< Value of `gate_max_rate` while the backend server states no rate.
 constexpr clock_ms readinessNoticeTime{2'500}; ///< After a stop began: time for two readiness checks of the platform, one a second, and a margin.
+constexpr clock_ms lateRequestTime{3'000}; ///< After a stop began: later requests come from clients that had time to learn of it.
 constexpr clock_ms killMargin{700}; ///< Time before the platform kills the process.
 constexpr clock_ms maxLinkWait{2'000}; ///< Time for links to come up; after it the host is ready without them.
 constexpr clock_ms idleMargin{1'000}; ///< Added to the idle time-out that callers know, so that the caller closes first.
@@ -309,7 +310,7 @@
 bool sidecar::isReady() const
 {
     const bool hasJoined = !m_directory.upstreams(steadyNow()).empty() || steadyNow() - m_startedAt > maxLinkWait;
-    return !m_core.stopping && m_core.routes.version() > 0 && hasJoined;
+    return !m_core.stop && m_core.routes.version() > 0 && hasJoined;
 }
 
 void sidecar::configurationChanged()
@@ -452,7 +453,7 @@
         m_slowTickAt = now;
         slowTick(now);
     }
-    if (m_core.stopping) {
+    if (m_core.stop) {
         stopTick();
     }
     flushLog();
@@ -494,15 +495,15 @@
 
 void sidecar::drain(std::function<void()> done)
 {
-    if (m_core.stopping) {
+    if (m_core.stop) {
         return;
     }
     logEvent(log_level::info,
              "sidecar_leaving",
              {{"requests", static_cast<std::uint64_t>(m_entry.openCount())}, {"calls", static_cast<std::uint64_t>(m_gate.callCount())}});
-    m_core.stopping = true;
-    m_links->announce(m_gate.report());
     m_stoppingSince = steadyNow();
+    m_core.stop = planned_stop{m_stoppingSince + lateRequestTime, m_stoppingSince + m_core.bounds.grace - killMargin};
+    m_links->announce(m_gate.report());
     m_stopped = std::move(done);
     if (m_gate.server().state == server_state::absent && !m_gate.server().id.empty()) {
         m_directory.leave();
@@ -517,7 +518,7 @@
         m_outbound->close();
     }
     const bool isQuiet = m_closesConnections && m_entry.openCount() == 0 && m_gate.callCount() == 0 && m_outbound->connections() == 0;
-    if (isQuiet || since >= m_core.bounds.grace - killMargin) {
+    if (isQuiet || steadyNow() >= m_core.stop->end) {
         const auto done = std::exchange(m_stopped, nullptr);
         if (done) {
             logEvent(log_level::info,
