--- a/src/store/store_answer.cpp
+++ b/src/store/store_answer.cpp
@@ -3,9 +3,9 @@
 #include "store/store_answer_func.h"
 
 #include "http/http_status_type.h"
+#include "store/store_json_func.h"
 
 #include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 #include <boost/system/system_error.hpp>
 
 namespace cicadamux
@@ -22,38 +22,60 @@
     return result;
 }
 
-std::uint64_t unsignedAt(const boost::json::value &document, std::string_view key)
+/** @throws boost::system::system_error if the text isn't whole. */
+std::string_view checkWhole(std::string_view text)
 {
-    return document.as_object().at(key).to_number<std::uint64_t>();
+    if (!isWholeJson(text)) {
+        throw boost::system::system_error(boost::json::make_error_code(boost::json::error::incomplete));
+    }
+    return text;
+}
+
+/** @throws std::bad_optional_access if the member is missing. */
+std::string_view textAt(std::string_view object, std::string_view key)
+{
+    return findJsonMember(object, key).value();
+}
+
+boost::json::value valueAt(std::string_view object, std::string_view key)
+{
+    const std::string_view text = textAt(object, key);
+    return boost::json::parse(boost::json::string_view(text.data(), text.size()));
+}
+
+std::uint64_t unsignedAt(std::string_view object, std::string_view key)
+{
+    return valueAt(object, key).to_number<std::uint64_t>();
 }
 
-std::string stringAt(const boost::json::value &document, std::string_view key)
+std::string stringAt(std::string_view object, std::string_view key)
 {
-    return std::string(document.as_object().at(key).as_string());
+    return std::string(valueAt(object, key).as_string());
 }
 
-/** @throws an exception of Boost.JSON if a member is missing or of the wrong type. */
-stored_object readObject(const boost::json::value &document)
+/** The value is taken as text: one that can't be read harms no other object. @throws an exception if another member is missing or of the wrong type. */
+stored_object readObject(std::string_view text)
 {
     stored_object object;
-    object.kind = stringAt(document, "kind");
-    object.name = stringAt(document, "name");
-    object.version = unsignedAt(document, "version");
-    object.value = boost::json::serialize(document.as_object().at("value"));
+    object.kind = stringAt(text, "kind");
+    object.name = stringAt(text, "name");
+    object.version = unsignedAt(text, "version");
+    object.value = normalizeJson(textAt(text, "value"));
     return object;
 }
 
-/** @throws an exception of Boost.JSON if a member is missing or of the wrong type. */
-store_changes readChanges(const boost::json::value &document)
+/** @throws an exception if a member is missing or of the wrong type. */
+store_changes readChanges(std::string_view text)
 {
     store_changes changes;
-    changes.cursor = unsignedAt(document, "cursor");
-    for (const auto &item : document.as_object().at("items").as_array()) {
+    changes.cursor = unsignedAt(text, "cursor");
+    const std::vector<std::string_view> items = splitJsonArray(textAt(text, "items")).value();
+    for (const std::string_view item : items) {
         changes.items.push_back(readObject(item));
     }
-    const auto *deleted = document.as_object().if_contains("deleted");
-    if (deleted != nullptr) {
-        for (const auto &name : deleted->as_array()) {
+    if (findJsonMember(text, "deleted")) {
+        const boost::json::value deleted = valueAt(text, "deleted");
+        for (const auto &name : deleted.as_array()) {
             changes.deleted.emplace_back(name.as_string());
         }
     }
@@ -75,7 +97,7 @@
 {
     return readOrBadAnswer<store_changes>([&] {
         store_result<store_changes> result;
-        result.value = readChanges(boost::json::parse(body));
+        result.value = readChanges(checkWhole(body));
         for (const stored_object &object : result.value.items) {
             if (object.kind != kind) {
                 result.failure = store_failure::bad_answer;
@@ -96,7 +118,7 @@
     }
     return readOrBadAnswer<stored_object>([&] {
         store_result<stored_object> result;
-        result.value = readObject(boost::json::parse(body));
+        result.value = readObject(checkWhole(body));
         if (result.value.kind != kind || result.value.name != name) {
             result.failure = store_failure::bad_answer;
         }
@@ -111,7 +133,7 @@
     }
     return readOrBadAnswer<std::uint64_t>([&] {
         store_result<std::uint64_t> result;
-        const std::uint64_t version = unsignedAt(boost::json::parse(body), "version");
+        const std::uint64_t version = unsignedAt(checkWhole(body), "version");
         if (status == http_status::conflict) {
             result.failure = store_failure::conflict;
             result.currentVersion = version;
--- a/tests/unit/sidecar_resilience_test.cpp
+++ b/tests/unit/sidecar_resilience_test.cpp
@@ -84,7 +84,12 @@
         R"({"host":"host-9","data_center":"tbs-1","service":"feebox","link_address":"127.0.0.1:99999"})",
         R"({"host":"host-9","data_center":7,"service":[],"link_address":{}})",
         R"({"host":"host-8","link_address":"127.0.0.1:1"})",
+        R"({"host":"host-9","data_center":"tbs-1","service":"feebox","link_address":"127.0.0.1:-1"})",
+        R"({"host":"host-9","data_center":"tbs-1","service":"feebox","link_address":"255.255.255.255:0"})",
+        R"({"host":"host-9","data_center":1e999999999999,"service":"feebox","link_address":"127.0.0.1:1"})",
         "[[[[",
+        std::string(400'000, '[') + std::string(400'000, ']'),
+        "1e400",
         "null",
     };
     for (const std::string &text : entries) {
--- a/tests/unit/store_http_test.cpp
+++ b/tests/unit/store_http_test.cpp
@@ -275,6 +275,22 @@
     CHECK(takeAll(500'000) == 60);
 }
 
+TEST_CASE("an object whose value can't be read hides no other object")
+{
+    const std::vector<std::string> values
+        = {std::string(400'000, '[') + std::string(400'000, ']'), "1e999999999999", R"("\ud800")", "\"\xff\"", R"({"a":"]}\"[{"})"};
+    for (const std::string &value : values) {
+        CAPTURE(value.substr(0, 100));
+        const std::string odd = R"({"kind":"service_policy","name":"odd","version":2,"value":)" + value + "}";
+        const std::string body = R"({"cursor":6,"items":[)" + objectBody("feebox", 2) + "," + odd + "," + objectBody("mapview", 3) + "]}";
+        const auto list = client_fixture(sendAnswer(200, body)).list();
+        CHECK(failureOf(list) == "none");
+        REQUIRE(list.value.items.size() == 3);
+        CHECK(list.value.items[2].value == R"({"a":1})");
+        CHECK(client_fixture(sendAnswer(200, body)).watch(5).value.items.size() == 3);
+    }
+}
+
 TEST_CASE("the store's answer follows its 1xx responses")
 {
     const std::string body = objectBody("feebox", 3);
