Add: A test of many answers without end at once

A report of other operators: bytes that are no answer, without end, in a head or a body, were all kept until the process ran out of memory. Handled already: the buffer of a connection, the limits on heads and bodies and the memory budget bound what is kept, as endless_answer_test.cpp shows for one answer. This test has 40 servers at once send a head, a body, chunks or bytes that are no answer, 640 MB together: each ends as broken or memory_exhausted, the budget is kept and given back, and the process grows by less than a tenth of it.

--- a/tests/unit/endless_answer_test.cpp
+++ b/tests/unit/endless_answer_test.cpp
@@ -8,9 +8,15 @@
 #include <doctest/doctest.h>
 
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
+#include <fstream>
 #include <future>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace cicadamux;
 using namespace cicadamux::test;
@@ -90,6 +96,16 @@
     return std::string(65'536, character);
 }
 
+/** @return Memory of this process that is resident. */
+std::size_t residentBytes()
+{
+    std::ifstream statistics("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    statistics >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 /** A backend server's handler that sends the start of an answer and then nothing. */
 served_handler stallAfter(const std::string &bytes)
 {
@@ -194,3 +210,46 @@
     entry.serve = sidecar_fleet::answerWell;
     CHECK(fleet.call(entry, "/feebox/").message.status == 200);
 }
+
+TEST_CASE("many answers without end at once leave the process within a bound of its memory (LOST)")
+{
+    constexpr int servers = 40;
+    constexpr std::size_t budgetBytes = 4'000'000;
+    constexpr std::size_t maxGrowth = 64'000'000; // Bytes; a tenth of what the servers send.
+    struct endless_form {
+        const char *name;
+        std::string beginning;
+        std::string part;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<endless_form> forms = {
+        {"head", "HTTP/1.1 200 OK\r\nx: ", filler('a')},
+        {"body", "HTTP/1.1 200 OK\r\n\r\n", filler('b')},
+        {"chunks", chunked, "10000\r\n" + filler('c') + "\r\n"},
+        {"no answer", "", filler('z')},
+    };
+    for (const endless_form &form : forms) {
+        CAPTURE(form.name);
+        const auto budget = std::make_shared<byte_budget>(budgetBytes);
+        const std::size_t before = residentBytes();
+        std::atomic<std::size_t> most{0};
+        std::atomic<int> broken{0};
+        std::atomic<std::size_t> held{0};
+        std::vector<std::thread> callers;
+        for (int index = 0; index < servers; ++index) {
+            callers.emplace_back([&] {
+                const endless_outcome outcome = readEndless(form.beginning, form.part, budget);
+                broken += outcome.failure == cicadamux::http_failure::broken_answer || outcome.failure == cicadamux::http_failure::memory_exhausted ? 1 : 0;
+                most = std::max(most.load(), residentBytes());
+                held = std::max(held.load(), budget->used());
+            });
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+        CHECK(broken == servers);
+        CHECK(held <= budgetBytes);
+        CHECK(budget->used() == 0);
+        CHECK(most <= before + maxGrowth);
+    }
+}
