Fix: A planned stop ended with ready answers that waited behind a longer request (LOST)

What callers saw: a client sent two requests at once on a connection of a sidecar that had got SIGTERM. The second was run and answered within 60 ms; the first ran on. 5.3 s after the signal the connection was closed and neither was answered.

Cause: at the end of a planned stop sidecar::stopTick() stopped the event loop whatever was open. The open request in front was never answered, so that the session never came to write the answers behind it; nor did it wait for writes in progress.

Change: at `grace` - 700 ms all open requests are ended with 502, which promises nothing, and the answers behind them follow in their order. The process ends once its connections are closed, at the latest at `grace` - 200 ms. A request that is ended so was at work in the last sixth of `grace`; without the change it would have been cut off at the same instant.

The new tests failed before: the three answers missing, and 3,919,872 of 48,000,000 bytes written; they pass now, with the other tests of planned stops (8).

--- a/src/sidecar/request_entry.cpp
+++ b/src/sidecar/request_entry.cpp
@@ -182,13 +182,27 @@
 
 void request_entry::handleTimeout(const request_pointer &inbound)
 {
-    if (inbound->isFinished) {
-        return;
+    if (!inbound->isFinished) {
+        giveUp(inbound, outcome_reason::answer_timeout);
     }
-    // It isn't known here whether the attempt is still queued at a gate or being executed.
+}
+
+/** Fails a request whose attempt is in progress. It isn't known here whether that is still queued at a gate or being executed. */
+void request_entry::giveUp(const request_pointer &inbound, outcome_reason reason)
+{
     inbound->mayHaveRun = inbound->mayHaveRun || inbound->attempt.isRunning();
     m_attempts.cancel(*inbound);
-    fail(inbound, outcome_reason::answer_timeout);
+    fail(inbound, reason);
+}
+
+void request_entry::endAll()
+{
+    const std::vector<request_pointer> open(m_open.begin(), m_open.end()); // A request that fails can end others, such as the calls of its run.
+    for (const request_pointer &inbound : open) {
+        if (!inbound->isFinished) {
+            giveUp(inbound, outcome_reason::draining);
+        }
+    }
 }
 
 void request_entry::handleCallerGone(const request_pointer &inbound)
--- a/src/sidecar/request_entry_base.h
+++ b/src/sidecar/request_entry_base.h
@@ -36,6 +36,9 @@
     /** Corrects the time limits of the open requests by the time that the steady clock missed. */
     void handleStall(const stall &found);
 
+    /** Fails all open requests, so that the answers behind them on their connections can be written. */
+    void endAll();
+
     /** @return Number of requests that are not answered yet. */
     std::size_t openCount() const;
 
@@ -48,6 +51,7 @@
     void retryOrFinish(const request_pointer &inbound, link_reply reply);
     void retryElsewhere(const request_pointer &inbound);
     void handleTimeout(const request_pointer &inbound);
+    void giveUp(const request_pointer &inbound, outcome_reason reason);
     void handleCallerGone(const request_pointer &inbound);
     void deliver(const request_pointer &inbound, link_reply reply);
     void fail(const request_pointer &inbound, outcome_reason reason);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -27,7 +27,8 @@
 constexpr double noRateGauge = -1; ///< Value of `gate_max_rate` while the backend server states no rate.
 constexpr clock_ms readinessNoticeTime{2'500}; ///< After a stop began: time for two readiness checks of the platform, one a second, and a margin.
 constexpr clock_ms lateRequestTime{3'000}; ///< After a stop began: later requests come from clients that had time to learn of it.
-constexpr clock_ms killMargin{700}; ///< Time before the platform kills the process.
+constexpr clock_ms killMargin{700}; ///< From the end of the open requests until the platform kills the process.
+constexpr clock_ms exitMargin{200}; ///< From the end of the process until the platform would kill it.
 constexpr clock_ms maxLinkWait{2'000}; ///< Time for links to come up; after it the host is ready without them.
 constexpr clock_ms idleMargin{1'000}; ///< Added to the idle time-out that callers know, so that the caller closes first.
 constexpr clock_ms bodyTimeout{60'000}; ///< Time for a slow client to send its body.
@@ -502,7 +503,8 @@
              "sidecar_leaving",
              {{"requests", static_cast<std::uint64_t>(m_entry.openCount())}, {"calls", static_cast<std::uint64_t>(m_gate.callCount())}});
     m_stoppingSince = steadyNow();
-    m_core.stop = planned_stop{m_stoppingSince + lateRequestTime, m_stoppingSince + m_core.bounds.grace - killMargin};
+    const clock_ms killedAt = m_stoppingSince + m_core.bounds.grace;
+    m_core.stop = planned_stop{m_stoppingSince + lateRequestTime, killedAt - killMargin, killedAt - exitMargin};
     m_links->announce(m_gate.report());
     m_stopped = std::move(done);
     if (m_gate.server().state == server_state::absent && !m_gate.server().id.empty()) {
@@ -517,8 +519,11 @@
     if (since >= readinessNoticeTime && !std::exchange(m_closesConnections, true)) {
         m_outbound->close();
     }
+    if (steadyNow() >= m_core.stop->end && !std::exchange(m_hasEndedRequests, true)) {
+        m_entry.endAll();
+    }
     const bool isQuiet = m_closesConnections && m_entry.openCount() == 0 && m_gate.callCount() == 0 && m_outbound->connections() == 0;
-    if (isQuiet || steadyNow() >= m_core.stop->end) {
+    if (isQuiet || steadyNow() >= m_core.stop->exit) {
         const auto done = std::exchange(m_stopped, nullptr);
         if (done) {
             logEvent(log_level::info,
--- a/src/sidecar/sidecar_base.h
+++ b/src/sidecar/sidecar_base.h
@@ -94,6 +94,7 @@
     clock_ms m_reportedAt; ///< Last report of dropped log lines.
     clock_ms m_stoppingSince;
     bool m_closesConnections = false; ///< Second phase of a graceful stop: the outbound listener is closed.
+    bool m_hasEndedRequests = false; ///< Third phase: no request is open any more, but answers may still have to be written.
     std::function<void(clock_ms now)> m_slowTickHook;
     std::function<void()> m_stopped;
 };
--- a/src/sidecar/sidecar_core_type.h
+++ b/src/sidecar/sidecar_core_type.h
@@ -26,7 +26,8 @@
 /** Instants of a planned stop. */
 struct planned_stop {
     clock_ms lateFrom; ///< From here on a request is admitted only if it is answered before the process ends.
-    clock_ms end; ///< The process ends, with whatever is still open.
+    clock_ms end; ///< Requests that are still open are ended.
+    clock_ms exit; ///< The process ends, even if answers are still being written.
 };
 
 constexpr clock_ms lastAnswerTime{200}; ///< Before the end of a planned stop: time to write the last answers.
--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -1,4 +1,4 @@
-/** @file planned_stop_test.cpp Requests that come late in the planned stop of a sidecar. */
+/** @file planned_stop_test.cpp Requests that come late in the planned stop of a sidecar, and answers that are ready at its end. */
 
 #include "link/host_link_base.h"
 #include "sidecar_fleet_fake.h"
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <future>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,14 +17,19 @@
 namespace
 {
 
-constexpr clock_ms lateInStop{3'300}; ///< After the signal; the process ends 5.3 seconds after it by the default bounds.
+constexpr clock_ms lateInStop{3'300}; ///< After the signal; open requests are ended 5.3 seconds after it by the default bounds.
+constexpr clock_ms longRouteTimeout{10'000};
+constexpr clock_ms killedAt{6'000}; ///< After the signal, by the default bounds.
+constexpr std::size_t largeAnswer = 48'000'000; ///< Bytes; more than socket buffers hold.
 
 /** A host whose backend server serves `feebox` and whose sidecar can be told to stop. */
 struct stopping_host {
     explicit stopping_host(bool idempotent)
         : host(fleet.add("feebox"))
     {
-        fleet.configure(makeRoutes(3, {"feebox"}, idempotent, 2));
+        route_configuration routes = makeRoutes(3, {"feebox"}, idempotent, 2);
+        routes.routes.front().timeout = longRouteTimeout;
+        fleet.configure(routes);
         fleet.beat(host, "i-1", 4);
         REQUIRE(fleet.ready());
     }
@@ -33,8 +39,40 @@
         host.running->drain([] {});
     }
 
+    /** Like stop(), but the event loop ends with the stop, as that of the process does. */
+    void stopWithLoop()
+    {
+        host.running->drain([this] {
+            hasEnded = true;
+            fleet.context.stop();
+        });
+    }
+
+    /** Runs until the sidecar has ended. @return False if it takes longer than the platform waits. */
+    bool endsInTime(clock_ms sinceSignal)
+    {
+        if (!hasEnded) {
+            fleet.runFor(killedAt - sinceSignal);
+        }
+        return hasEnded;
+    }
+
+    /** Lets the backend server answer with bodies of this size. */
+    void serveLargeAnswers(std::size_t bytes)
+    {
+        daemon_settings settings = host.settings;
+        settings.maxBodyBytes = 2 * bytes;
+        host.running->applySettings(settings);
+        host.serve = [bytes](const std::shared_ptr<test::http_exchange> &exchange) {
+            http_message answer = sidecar_fleet::goodAnswer(exchange->request());
+            answer.body = std::string(bytes, 'x');
+            exchange->answer(answer);
+        };
+    }
+
     sidecar_fleet fleet;
     sidecar_host &host;
+    bool hasEnded = false;
 };
 
 /** Runs the fleet until the client's socket has had time to get its answer. @return Its head. */
@@ -151,3 +189,54 @@
     CHECK(stopping.host.served.size() == 2);
     link->stop();
 }
+
+TEST_CASE("answers that are ready behind a longer request are delivered at the end of a planned stop (LOST)")
+{
+    stopping_host stopping(true);
+    std::shared_ptr<test::http_exchange> held;
+    stopping.host.serve = [&held](const std::shared_ptr<test::http_exchange> &exchange) {
+        if (exchange->request().target == "/feebox/long") {
+            held = exchange;
+        } else {
+            sidecar_fleet::answerWell(exchange);
+        }
+    };
+    raw_socket client(stopping.host.settings.edgeAddress);
+    stopping.stopWithLoop();
+    const std::string headers = " HTTP/1.1\r\nHost: shop.example\r\nx-deadline: 6000\r\nx-id: r-";
+    client.send("GET /feebox/long" + headers + "1\r\n\r\nGET /feebox/a" + headers + "2\r\n\r\nGET /feebox/b" + headers + "3\r\n\r\n");
+    CHECK(stopping.endsInTime(clock_ms{0}));
+    REQUIRE(stopping.host.served.size() == 3);
+    const std::string answers = client.receiveUntil("answer to /feebox/b");
+    const auto ofLong = answers.find("HTTP/1.1 502");
+    const auto first = answers.find("answer to /feebox/a");
+    const auto last = answers.find("answer to /feebox/b");
+    CHECK(ofLong == 0);
+    CHECK(first != std::string::npos);
+    CHECK(last != std::string::npos);
+    CHECK(first < last);
+    const auto close = answers.find("Connection: close");
+    CHECK(close != std::string::npos);
+    CHECK(close > first); // Only the last answer announces the end of the connection.
+}
+
+TEST_CASE("an answer that its client is still reading at the end of a planned stop is written whole (LOST)")
+{
+    stopping_host stopping(true);
+    stopping.serveLargeAnswers(largeAnswer);
+    raw_socket client(stopping.host.settings.edgeAddress);
+    client.send(headOf("r-large", 5'000, 0));
+    REQUIRE(stopping.fleet.eventually([&stopping] {
+        return stopping.host.served.size() == 1;
+    }));
+    stopping.stopWithLoop();
+    constexpr clock_ms untilRead{5'350};
+    stopping.fleet.runFor(untilRead);
+    CHECK_FALSE(stopping.hasEnded);
+    auto answer = std::async(std::launch::async, [&client] {
+        return client.receiveAll();
+    });
+    CHECK(stopping.endsInTime(untilRead));
+    stopping.host.running->stop();
+    CHECK(answer.get().size() > largeAnswer);
+}
