Fix: A planned stop cut off answers on their way to another host (LOST)

What callers saw: a request that another host's backend server had answered ended with 502 when that host's sidecar was stopped while the answer was being written to the link.

Cause: the gate forgets a call when its reply is queued on the link, and a stop counted as quiet without asking the links. Besides, closing a socket with unread input, such as a probe, resets the connection with all that the system still holds.

Change: once nothing else is open, links end their sending direction behind what is queued, and the process waits until their peers have closed them: 300 ms if nothing is queued, else until `grace` - 200 ms. What peers send from then on is read and dropped, so that no call is run whose reply couldn't be sent.

--- a/src/link/link_server.cpp
+++ b/src/link/link_server.cpp
@@ -52,6 +52,17 @@
         cancelAll();
     }
 
+    void finishSending()
+    {
+        m_isFinishing = true;
+        m_stream->finishSending();
+    }
+
+    std::size_t backlog() const
+    {
+        return m_stream->backlog();
+    }
+
     void announce(const host_report &report)
     {
         if (m_handshake.isComplete() && !m_isClosed) {
@@ -62,6 +73,9 @@
 private:
     void received(link_message message)
     {
+        if (m_isFinishing) {
+            return; // No reply could be sent.
+        }
         if (!m_handshake.isComplete()) {
             if (const auto reply = m_handshake.receive(message)) {
                 m_stream->send(*reply);
@@ -130,6 +144,7 @@
     std::function<void()> m_ended;
     std::shared_ptr<link_stream> m_stream;
     std::map<std::uint64_t, std::function<void()>> m_cancels; ///< Cancel functions of unanswered calls, by call id.
+    bool m_isFinishing = false;
     bool m_isClosed = false;
 };
 } // namespace
@@ -235,6 +250,27 @@
     }
 }
 
+void link_server::finishSending()
+{
+    for (const auto &link : m_state->links) {
+        link->finishSending();
+    }
+}
+
+std::size_t link_server::backlog() const
+{
+    std::size_t bytes = 0;
+    for (const auto &link : m_state->links) {
+        bytes += link->backlog();
+    }
+    return bytes;
+}
+
+std::size_t link_server::count() const
+{
+    return m_state->links.size();
+}
+
 void link_server::closeLinks()
 {
     m_state->closeLinks();
--- a/src/link/link_server_base.h
+++ b/src/link/link_server_base.h
@@ -49,6 +49,15 @@
     /** Sends this host's report to all peers, after a change that they shouldn't learn only by their next probe. */
     void announce(const host_report &report);
 
+    /** Ends the sending direction of all links once their queued messages are written. Their peers close them then. */
+    void finishSending();
+
+    /** @return Number of bytes that wait to be written, over all links. */
+    std::size_t backlog() const;
+
+    /** @return Number of open links. */
+    std::size_t count() const;
+
     /** Closes all links and cancels their calls. */
     void closeLinks();
 
--- a/src/link/link_stream.cpp
+++ b/src/link/link_stream.cpp
@@ -37,7 +37,7 @@
 std::uint64_t link_stream::send(const link_message &message)
 {
     ++m_lastQueued;
-    if (m_closed) {
+    if (m_closed || m_isFinishing) {
         return m_lastQueued;
     }
     m_queue.push_back(encodeFrame(message));
@@ -48,6 +48,21 @@
     return m_lastQueued;
 }
 
+void link_stream::finishSending()
+{
+    m_isFinishing = true;
+    shutDownIfWritten();
+}
+
+/** Closing the socket with unread input would reset the connection, and the peer could lose what is still on its way. */
+void link_stream::shutDownIfWritten()
+{
+    if (m_isFinishing && !m_closed && m_writing.empty() && m_queue.empty()) {
+        boost::system::error_code ignored; // A failure shows at the next read.
+        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+}
+
 bool link_stream::mayHaveBeenSent(std::uint64_t number) const
 {
     return number <= m_lastWritten;
@@ -169,6 +184,7 @@
         if (!self->m_queue.empty()) {
             self->write();
         }
+        self->shutDownIfWritten();
     });
 }
 
--- a/src/link/link_stream_base.h
+++ b/src/link/link_stream_base.h
@@ -36,6 +36,9 @@
     /** Queues a message. @return Its number on this stream; messages are numbered from 1. */
     std::uint64_t send(const link_message &message);
 
+    /** Ends the sending direction once all queued messages are written. Later messages are dropped; reading goes on. */
+    void finishSending();
+
     /** @return Whether any part of the message may have been handed to the system. */
     bool mayHaveBeenSent(std::uint64_t number) const;
 
@@ -54,6 +57,7 @@
     void consume(std::string_view bytes);
     std::size_t deliverMessages(std::string_view bytes);
     void write();
+    void shutDownIfWritten();
     void fail(std::string_view why);
 
     boost::asio::ip::tcp::socket m_socket;
@@ -66,6 +70,7 @@
     std::uint64_t m_lastQueued = 0; ///< Number of the last message queued.
     std::uint64_t m_lastWritten = 0; ///< Number of the last message whose write was started.
     clock_ms m_lastReceived;
+    bool m_isFinishing = false; ///< No message is queued any more.
     bool m_closed = false;
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -29,6 +29,7 @@
 constexpr clock_ms lateRequestTime{3'000}; ///< After a stop began: later requests come from clients that had time to learn of it.
 constexpr clock_ms killMargin{700}; ///< From the end of the open requests until the platform kills the process.
 constexpr clock_ms exitMargin{200}; ///< From the end of the process until the platform would kill it.
+constexpr clock_ms linkLingerTime{300}; ///< How long peers may take to close their links after the last message.
 constexpr clock_ms maxLinkWait{2'000}; ///< Time for links to come up; after it the host is ready without them.
 constexpr clock_ms idleMargin{1'000}; ///< Added to the idle time-out that callers know, so that the caller closes first.
 constexpr clock_ms bodyTimeout{60'000}; ///< Time for a slow client to send its body.
@@ -522,17 +523,36 @@
     if (steadyNow() >= m_core.stop->end && !std::exchange(m_hasEndedRequests, true)) {
         m_entry.endAll();
     }
-    const bool isQuiet = m_closesConnections && m_entry.openCount() == 0 && m_gate.callCount() == 0 && m_outbound->connections() == 0;
-    if (isQuiet || steadyNow() >= m_core.stop->exit) {
-        const auto done = std::exchange(m_stopped, nullptr);
-        if (done) {
-            logEvent(log_level::info,
-                     "sidecar_quiet",
-                     {{"waited_ms", since.count},
-                      {"requests", static_cast<std::uint64_t>(m_entry.openCount())},
-                      {"calls", static_cast<std::uint64_t>(m_gate.callCount())}});
-            done();
-        }
+    if (isQuiet() || steadyNow() >= m_core.stop->exit) {
+        endProcess(since);
+    }
+}
+
+/** @return Whether no request, call or answer of this process is open or unwritten. Ends the sending direction of the links. */
+bool sidecar::isQuiet()
+{
+    const clock_ms now = steadyNow();
+    if (!m_closesConnections || m_entry.openCount() > 0 || m_gate.callCount() > 0 || m_outbound->connections() > 0) {
+        return false;
+    }
+    if (!m_linksFinishedAt) {
+        m_linksFinishedAt = now;
+        m_links->finishSending();
+    }
+    return m_links->count() == 0 || (m_links->backlog() == 0 && now - *m_linksFinishedAt >= linkLingerTime);
+}
+
+void sidecar::endProcess(clock_ms since)
+{
+    const auto done = std::exchange(m_stopped, nullptr);
+    if (done) {
+        logEvent(log_level::info,
+                 "sidecar_quiet",
+                 {{"waited_ms", since.count},
+                  {"requests", static_cast<std::uint64_t>(m_entry.openCount())},
+                  {"calls", static_cast<std::uint64_t>(m_gate.callCount())},
+                  {"link_bytes", static_cast<std::uint64_t>(m_links->backlog())}});
+        done();
     }
 }
 
--- a/src/sidecar/sidecar_base.h
+++ b/src/sidecar/sidecar_base.h
@@ -73,6 +73,8 @@
     void runPeriodicWork();
     void slowTick(clock_ms now);
     void stopTick();
+    bool isQuiet();
+    void endProcess(clock_ms since);
 
     boost::asio::io_context &m_context;
     sidecar_core m_core;
@@ -95,6 +97,7 @@
     clock_ms m_stoppingSince;
     bool m_closesConnections = false; ///< Second phase of a graceful stop: the outbound listener is closed.
     bool m_hasEndedRequests = false; ///< Third phase: no request is open any more, but answers may still have to be written.
+    std::optional<clock_ms> m_linksFinishedAt; ///< Fourth phase: links send nothing more.
     std::function<void(clock_ms now)> m_slowTickHook;
     std::function<void()> m_stopped;
 };
--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -1,6 +1,7 @@
 /** @file planned_stop_test.cpp Requests that come late in the planned stop of a sidecar, and answers that are ready at its end. */
 
 #include "link/host_link_base.h"
+#include "link/link_codec_func.h"
 #include "sidecar_fleet_fake.h"
 #include "support/raw_socket_base.h"
 
@@ -20,6 +21,7 @@
 constexpr clock_ms lateInStop{3'300}; ///< After the signal; open requests are ended 5.3 seconds after it by the default bounds.
 constexpr clock_ms longRouteTimeout{10'000};
 constexpr clock_ms killedAt{6'000}; ///< After the signal, by the default bounds.
+constexpr std::size_t bufferedAnswer = 2'000'000; ///< Bytes; socket buffers hold them.
 constexpr std::size_t largeAnswer = 48'000'000; ///< Bytes; more than socket buffers hold.
 
 /** A host whose backend server serves `feebox` and whose sidecar can be told to stop. */
@@ -70,6 +72,24 @@
         };
     }
 
+    /** Sends a call over a link and runs until it has reached the backend server. */
+    void callOn(raw_socket &link)
+    {
+        link_call call;
+        call.id = call_id{1};
+        call.service = "feebox";
+        call.requestId = "r-link";
+        call.route = "feebox";
+        call.method = "GET";
+        call.target = "/feebox/";
+        call.remaining = clock_ms{5'000};
+        call.maxWait = clock_ms{100};
+        link.send(encodeFrame(call));
+        REQUIRE(fleet.eventually([this] {
+            return host.served.size() == 1;
+        }));
+    }
+
     sidecar_fleet fleet;
     sidecar_host &host;
     bool hasEnded = false;
@@ -240,3 +260,41 @@
     stopping.host.running->stop();
     CHECK(answer.get().size() > largeAnswer);
 }
+
+TEST_CASE("an answer that is on its way to another host keeps a planned stop from ending (LOST)")
+{
+    stopping_host stopping(true);
+    stopping.serveLargeAnswers(largeAnswer);
+    raw_socket caller(stopping.host.settings.peerAddress);
+    stopping.callOn(caller);
+    stopping.stopWithLoop();
+    stopping.fleet.runFor(lateInStop);
+    CHECK_FALSE(stopping.hasEnded);
+    auto received = std::async(std::launch::async, [&caller] {
+        return caller.receiveAll();
+    });
+    CHECK(stopping.endsInTime(lateInStop));
+    stopping.host.running->stop();
+    CHECK(received.get().size() > largeAnswer);
+}
+
+TEST_CASE("an answer that another host has not read yet survives the end of a planned stop (LOST)")
+{
+    constexpr clock_ms afterQuiet{2'620};
+    stopping_host stopping(true);
+    stopping.serveLargeAnswers(bufferedAnswer);
+    raw_socket caller(stopping.host.settings.peerAddress);
+    stopping.callOn(caller);
+    stopping.stopWithLoop();
+    stopping.fleet.runFor(afterQuiet);
+    caller.send(encodeFrame(link_probe{})); // A peer may send at any time; closing a socket with unread input resets it.
+    if (stopping.hasEnded) {
+        stopping.host.running->stop();
+    }
+    auto received = std::async(std::launch::async, [&caller] {
+        return caller.receiveAll();
+    });
+    CHECK(stopping.endsInTime(afterQuiet));
+    stopping.host.running->stop();
+    CHECK(received.get().size() > bufferedAnswer);
+}
