Fix: A planned stop forgot the departure of a server that still served (DRAIN)

What callers saw: a backend server whose DELETE had been acknowledged went on serving while its sidecar was stopped and started again. A late heartbeat from before the DELETE put it into use again.

Cause: sidecar::drain() took the state `absent` for a server that has ended with its host, and removed the departure record, which is there for exactly this restart. A server that has sent its DELETE is `absent` too.

Change: the record is removed only if a connection to the server's address is refused and no call is running there.

The new test failed before (200 in place of 503 at both hosts); it passes now, 3 of 3. The test of the removal passed before and passes now, and fails with the removal switched off.

--- a/src/core/socket.cpp
+++ b/src/core/socket.cpp
@@ -1,11 +1,15 @@
-/** @file socket.cpp Options of TCP sockets. */
+/** @file socket.cpp Options of TCP sockets, and a check of a listener. */
 
 #include "core/socket_func.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace cicadamux
 {
@@ -16,6 +20,18 @@
 {
     return ::setsockopt(descriptor, level, name, &value, sizeof(value)) == 0;
 }
+
+/** A connection attempt and its time limit. */
+struct listener_check {
+    explicit listener_check(boost::asio::io_context &context)
+        : socket(context)
+        , timer(context)
+    {
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::steady_timer timer;
+};
 } // namespace
 
 bool setPeerTimeout(boost::asio::ip::tcp::socket &socket, clock_ms limit)
@@ -31,4 +47,20 @@
     return noDelay && keepAlive && userTimeout;
 }
 
+void checkRefused(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint, clock_ms limit, std::function<void(bool isRefused)> done)
+{
+    const auto check = std::make_shared<listener_check>(context);
+    check->timer.expires_after(std::chrono::milliseconds(limit.count));
+    check->timer.async_wait([check](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            boost::system::error_code ignored;
+            check->socket.close(ignored);
+        }
+    });
+    check->socket.async_connect(endpoint, [check, done = std::move(done)](boost::system::error_code failure) {
+        check->timer.cancel();
+        done(failure == boost::asio::error::connection_refused);
+    });
+}
+
 } // namespace cicadamux
--- a/src/sidecar/departure_record_base.h
+++ b/src/sidecar/departure_record_base.h
@@ -54,7 +54,7 @@
     /** Records the last departure again, after the store has come back from a copy that may lack it. */
     void repeat();
 
-    /** Removes the record, when this host leaves for good. */
+    /** Removes the record, when this host leaves and its server has ended. */
     void remove();
 
     void stop();
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -3,8 +3,10 @@
 #include "sidecar/sidecar_base.h"
 
 #include "core/invariant_func.h"
+#include "core/socket_func.h"
 #include "daemon/call_headers_func.h"
 #include "daemon/settings_parts_func.h"
+#include "http/http_endpoint_func.h"
 #include "http/http_fields_func.h"
 #include "http/http_status_type.h"
 #include "operator/query_func.h"
@@ -29,6 +31,7 @@
 constexpr clock_ms lateRequestTime{3'000}; ///< After a stop began: later requests come from clients that had time to learn of it.
 constexpr clock_ms killMargin{700}; ///< From the end of the open requests until the platform kills the process.
 constexpr clock_ms exitMargin{200}; ///< From the end of the process until the platform would kill it.
+constexpr clock_ms listenerCheckTime{500}; ///< For the system to tell whether the backend server still listens.
 constexpr clock_ms linkLingerTime{300}; ///< How long peers may take to close their links after the last message.
 constexpr clock_ms maxLinkWait{2'000}; ///< Time for links to come up; after it the host is ready without them.
 constexpr clock_ms idleMargin{1'000}; ///< Added to the idle time-out that callers know, so that the caller closes first.
@@ -510,10 +513,25 @@
     m_stopped = std::move(done);
     if (m_gate.server().state == server_state::absent && !m_gate.server().id.empty()) {
         m_directory.leave();
-        m_departures->remove();
+        removeDepartureOfEnded();
     }
 }
 
+/** A server that has left may go on serving, and this sidecar may start again beside it: the record goes only if the server has ended. */
+void sidecar::removeDepartureOfEnded()
+{
+    if (m_gate.callCount() > 0) {
+        return;
+    }
+    const auto address = detail::parseEndpoint(m_core.settings.backendAddress);
+    checkRefused(m_context, address, listenerCheckTime, [departures = m_departures, server = m_gate.server().id](bool isRefused) {
+        logEvent(log_level::info, "departure_checked", {{"server", server}, {"has_ended", isRefused}});
+        if (isRefused) {
+            departures->remove();
+        }
+    });
+}
+
 void sidecar::stopTick()
 {
     const clock_ms since = steadyNow() - m_stoppingSince;
--- a/src/sidecar/sidecar_base.h
+++ b/src/sidecar/sidecar_base.h
@@ -72,6 +72,7 @@
     void handleStall(const stall &found);
     void runPeriodicWork();
     void slowTick(clock_ms now);
+    void removeDepartureOfEnded();
     void stopTick();
     bool isQuiet();
     void endProcess(clock_ms since);
--- a/tests/unit/sidecar_resilience_test.cpp
+++ b/tests/unit/sidecar_resilience_test.cpp
@@ -198,6 +198,39 @@
     }
 }
 
+TEST_CASE("a server that left and still serves is not used again after its sidecar was stopped as planned and started again (DRAIN)")
+{
+    two_hosts hosts(false);
+    auto &[fleet, entry, target] = hosts;
+    REQUIRE(fleet.call(entry, "/feebox/").message.status == 200);
+    fleet.beat(target, "i-1", 4, "gone");
+    for (sidecar_host *host : {&target, &entry}) { // All in turn, so that no other host remembers the departure.
+        host->running->drain([] {});
+        fleet.runFor(clock_ms{200});
+        fleet.restart(*host);
+    }
+    fleet.beat(target, "i-1", 4); // A late heartbeat from before the departure.
+    REQUIRE(fleet.ready());
+    fleet.runFor(clock_ms{1'500}); // Until the hosts have heard of each other.
+    fleet.call(entry, "/feebox/"); // The client's idle connection to the process before fails at its first use.
+    CHECK(fleet.call(entry, "/feebox/").message.status == 503);
+    CHECK(fleet.call(target, "/feebox/").message.status == 503);
+    CHECK(target.served.size() == 1);
+}
+
+TEST_CASE("the record of a departure goes when the host leaves after its backend server has ended")
+{
+    two_hosts hosts(false);
+    auto &[fleet, entry, target] = hosts;
+    fleet.beat(target, "i-1", 4, "gone");
+    REQUIRE(fleet.platform.holds("cicadamux-departures", "host-2"));
+    target.server->stop();
+    target.running->drain([] {});
+    CHECK(fleet.eventually([&hosts] {
+        return !hosts.fleet.platform.holds("cicadamux-departures", "host-2");
+    }));
+}
+
 TEST_CASE("a late heartbeat of a server that can't be reached is no departure and the server is used again after a restart")
 {
     two_hosts hosts(false);
