Fix: A refusal written once more on a kept connection was taken for the next request's answer (REFUSED, TWICE)

What callers saw: a backend server repeated an earlier refusal, without an id, ahead of the next answer of the connection or during its run. The next request was reported as not run though it ran (503), or ran at a second server too.

Cause: an answer without an id was accepted for the awaited one on every connection, since refusals need not name their request. On a connection that has carried an answer before it may be a copy.

Change: a connection isn't used again after an answer without an id, and one whose status the connection has carried before is dropped like an answer to another request. The gate logs `answers_dropped`.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -5,6 +5,7 @@
 #include "http/http_answer_reader_base.h"
 #include "http/http_endpoint_func.h"
 #include "http/http_fields_func.h"
+#include "http/http_status_type.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
@@ -12,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include <atomic>
+#include <bitset>
 #include <charconv>
 #include <mutex>
 #include <optional>
@@ -261,7 +263,10 @@
         result.response.status = message.result_int();
         result.response.headers = copyHeaders(message);
         result.response.body = std::move(message.body());
-        if (m_rules.isOwn && !m_rules.isOwn(result.response)) {
+        const answer_owner owner = m_rules.ownerOf ? m_rules.ownerOf(result.response) : answer_owner::request;
+        const bool isPossibleCopy = owner == answer_owner::unnamed && m_statuses.test(result.response.status);
+        m_statuses.set(result.response.status);
+        if (owner == answer_owner::other || isPossibleCopy) {
             handleForeignAnswer(keepAlive);
             return;
         }
@@ -271,7 +276,8 @@
             m_reusableUntil = steadyNow() + *idleTimeout - clock_ms{idleMarginMs};
         }
         const bool isWritten = m_writing == write_progress::written;
-        finishComplete(std::move(result), keepAlive && !isUnframed && isWritten && m_foreignAnswers == 0 && !m_reader.hasMoreBytes());
+        const bool isCertain = owner == answer_owner::request && m_foreignAnswers == 0;
+        finishComplete(std::move(result), keepAlive && !isUnframed && isWritten && isCertain && !m_reader.hasMoreBytes());
     }
 
     /** Drops a late or duplicate response to another request. */
@@ -288,6 +294,7 @@
     void finishComplete(http_result result, bool reusable)
     {
         m_held = {};
+        result.droppedAnswers = m_foreignAnswers;
         const auto handler = std::exchange(m_handler, nullptr);
         const bool kept = reusable && handler && returnToPool();
         if (!kept) {
@@ -301,6 +308,7 @@
     void finish(http_result result)
     {
         m_held = {};
+        result.droppedAnswers = m_foreignAnswers;
         m_stream.close();
         const auto handler = std::exchange(m_handler, nullptr);
         if (handler) {
@@ -328,6 +336,7 @@
     http_answer_rules m_rules;
     std::optional<clock_ms> m_reusableUntil; ///< From the `Keep-Alive` header of the last response; nothing if it had none.
     byte_reservation m_held; ///< Reservation for the part of the response body that was read.
+    std::bitset<http_status::last + 1> m_statuses; ///< Statuses of all answers on this connection.
     int m_foreignAnswers = 0; ///< Responses to other requests dropped while waiting for this one.
     write_progress m_writing = write_progress::pending; ///< Of the current request.
     bool m_endAwaitsWrite = false; ///< An answer without a length has ended, but it isn't known yet whether in a reset.
--- a/src/http/http_client_base.h
+++ b/src/http/http_client_base.h
@@ -22,16 +22,27 @@
     no_connection, ///< The connection limit is reached or connecting failed; nothing was sent.
     lost, ///< The connection was lost before the first byte of the response; the request may have been executed.
     broken_answer, ///< The response was truncated, malformed, too large, or had no length.
-    mismatched_answer, ///< Only responses to other requests arrived.
+    mismatched_answer, ///< Only responses to other requests, or copies of them, arrived.
     memory_exhausted ///< The response body doesn't fit into the memory budget.
 };
 
 /** @return The name used in logs, such as `broken_answer`. */
 std::string_view describe(http_failure failure);
 
+/** What a response states about the request that it answers. */
+enum class answer_owner : std::uint8_t {
+    request, ///< It names the request.
+    other, ///< It names another one.
+    unnamed ///< It names none.
+};
+
 /** Which responses the sender of a request accepts. */
 struct http_answer_rules {
-    std::function<bool(const http_response &response)> isOwn; ///< Responses that do not match are dropped. Empty: any.
+    /**
+     * Responses to others are dropped, and so are those that name no request and have a status that the connection has carried
+     * before, since they may be copies. Empty: every response is taken for the request's own.
+     */
+    std::function<answer_owner(const http_response &response)> ownerOf;
     bool acceptsUnframed = false; ///< Accept a response without a length, which ends when the connection closes.
     std::shared_ptr<byte_budget> budget; ///< For the response body while it is read; null: limited by `http_limits::maxBodyBytes` alone.
 };
@@ -40,6 +51,7 @@
 struct http_result {
     http_failure failure = http_failure::none;
     http_response response; ///< Complete if there was no failure.
+    int droppedAnswers = 0; ///< Responses before it that belong to other requests.
 };
 
 using http_result_handler = std::function<void(http_result)>;
@@ -55,8 +67,9 @@
 };
 
 /**
- * Sends requests to one server, one at a time per connection. A connection is reused only if the response was complete
- * and no bytes followed it, so that a response is never matched to another request. Thread-safe.
+ * Sends requests to one server, one at a time per connection. A connection is reused only if the response was complete,
+ * named its request (where the rules ask for that) and no bytes followed it, so that a response is never matched to another
+ * request. Thread-safe.
  */
 class http_client
 {
--- a/src/sidecar/server_gate.cpp
+++ b/src/sidecar/server_gate.cpp
@@ -335,9 +335,12 @@
     http_answer_rules rules;
     rules.acceptsUnframed = true;
     rules.budget = m_core.heldBytes;
-    rules.isOwn = [name = std::string_view(m_core.adapter.headers.requestId), request = call->call.requestId](const http_response &response) {
+    rules.ownerOf = [name = std::string_view(m_core.adapter.headers.requestId), request = call->call.requestId](const http_response &response) {
         const auto echoed = findHeader(response.headers, name);
-        return !echoed || *echoed == request;
+        if (!echoed) {
+            return answer_owner::unnamed; // Backend servers don't name the request in every refusal.
+        }
+        return *echoed == request ? answer_owner::request : answer_owner::other;
     };
     call->pending = m_client.send(
         forwardedRequest(*call),
@@ -366,6 +369,11 @@
 {
     call->pending.reset();
     call->transport = result.failure;
+    if (result.droppedAnswers > 0 && m_core.log.mayLogFailure()) {
+        logEvent(log_level::warning,
+                 "answers_dropped",
+                 {{"request", call->call.requestId}, {"server", call->serverId}, {"count", result.droppedAnswers}, {"transport", describe(result.failure)}});
+    }
     const bool isUnreachable = result.failure == http_failure::no_connection;
     const bool wasRun = result.failure == http_failure::none && !findHeader(result.response.headers, m_core.adapter.headers.notExecuted);
     if (result.failure == http_failure::none) {
