Add: Tests of answers that are cut inside their head, at each byte

Asked for by a report of other operators: a backend server stops inside the head of its answer and closes, and clients get a 200 with an empty or short body.

--- a/tests/unit/broken_answer_test.cpp
+++ b/tests/unit/broken_answer_test.cpp
@@ -1,4 +1,4 @@
-/** @file broken_answer_test.cpp Answers that end in a reset, or whose head HTTP doesn't allow, are treated as lost. */
+/** @file broken_answer_test.cpp Answers that end early or in a reset, or whose head HTTP doesn't allow, are treated as lost. */
 
 #include "http/http_client_base.h"
 #include "sidecar_fleet_fake.h"
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <future>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -379,3 +380,60 @@
         CHECK((*reply)->message.body.starts_with("body") == !isReset);
     }
 }
+
+TEST_CASE("an answer that is cut inside its head is none at each byte (MIXED)")
+{
+    const std::vector<std::string> fields = {"Content-Length: 4\r\n", "Content-Length: 0\r\n", "", "Transfer-Encoding: chunked\r\n"};
+    for (const std::string &framing : fields) {
+        const std::string head = "HTTP/1.1 200 OK\r\nx-id: r-1\r\n" + framing + "\r\n";
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            CAPTURE(head.substr(0, cut));
+            for (const sent_request &sent : {sent_request{"GET"}, sent_request{"POST", 10}}) {
+                for (const auto &ending : {endAndReadOn, resetAtOnce}) {
+                    const std::string failure(describe(exchangeWith(answerAtOnce(head.substr(0, cut), ending), sent).failure));
+                    CHECK((failure == "broken_answer" || failure == "lost"));
+                }
+            }
+        }
+        checkBroken(answerAtOnce(head.substr(0, head.size() - 1), endAndReadOn), {"PUT", longUpload});
+        checkBroken(answerAtOnce(interimHead + head.substr(0, head.size() - 1), endAndReadOn), {});
+    }
+}
+
+TEST_CASE("a sidecar answers an answer that is cut inside its head with 502 (MIXED)")
+{
+    std::string head;
+    std::size_t cut = 0;
+    bool isReset = false;
+    std::optional<raw_server> upstream; // Outlives the hosts, whose connections keep its thread.
+    two_hosts hosts(false);
+    auto &[fleet, entry, target] = hosts;
+    target.server.reset();
+    upstream.emplace(target.settings.backendAddress, [&](raw_socket &connection) {
+        if (!connection.receiveUntil(endOfHead).empty()) {
+            connection.send(head.substr(0, cut));
+            (isReset ? resetAtOnce : endAndReadOn)(connection);
+        }
+    });
+    const std::vector<std::string> framings = {"Content-Length: 4\r\n", "", "Transfer-Encoding: chunked\r\n"};
+    for (const std::string &framing : framings) {
+        head = "HTTP/1.1 200 OK\r\nx-signature: signed\r\n" + framing + "\r\n";
+        for (cut = 0; cut < head.size(); ++cut) {
+            for (const bool viaLink : {false, true}) {
+                for (const std::string body : {"", "body"}) {
+                    isReset = !isReset;
+                    CAPTURE(head.substr(0, cut));
+                    CAPTURE(viaLink);
+                    CAPTURE(body);
+                    CAPTURE(isReset);
+                    const auto reply = fleet.send(viaLink ? entry : target, "/feebox/", clock_ms{2'000}, body);
+                    REQUIRE(fleet.eventually([&reply] {
+                        return reply->has_value();
+                    }));
+                    CHECK((*reply)->message.status == 502);
+                    CHECK(std::string(headerOf((*reply)->message, "x-signature")).empty());
+                }
+            }
+        }
+    }
+}
