--- a/src/operator/admin_client.cpp
+++ b/src/operator/admin_client.cpp
@@ -2,6 +2,8 @@
 
 #include "operator/admin_client_func.h"
 
+#include "http/http_status_type.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -54,6 +56,7 @@
     http::request<http::string_body> request;
     clock_ms timeLimit;
     bool isConnected = false;
+    unsigned status = 0;
     std::string answer;
 };
 
@@ -69,6 +72,7 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxAnswerSize);
     co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+    exchange.status = parser.get().result_int();
     exchange.answer = std::move(parser.get().body());
 }
 } // namespace
@@ -76,7 +80,7 @@
 std::string queryAdmin(const std::string &address, const std::string &line, clock_ms timeLimit)
 {
     asio::io_context context;
-    admin_exchange exchange{parseEndpoint(address), makeRequest(address, line), timeLimit, false, {}};
+    admin_exchange exchange{parseEndpoint(address), makeRequest(address, line), timeLimit, false, 0, {}};
     std::exception_ptr failure;
     asio::co_spawn(context, runExchange(exchange), [&failure](std::exception_ptr thrown) {
         failure = std::move(thrown);
@@ -90,6 +94,9 @@
         const auto stage = exchange.isConnected ? admin_failure::no_answer : admin_failure::not_connected;
         throw admin_error(stage, "daemon at " + address + ": " + exception.code().message());
     }
+    if (exchange.status != http_status::ok) { // A listener states this status for every result, also for a query that failed.
+        throw admin_error(admin_failure::no_answer, "daemon at " + address + ": answered with status " + std::to_string(exchange.status));
+    }
     return exchange.answer;
 }
 
--- a/src/operator/admin_client_func.h
+++ b/src/operator/admin_client_func.h
@@ -15,7 +15,7 @@
 enum class admin_failure : std::uint8_t {
     bad_address, ///< The address isn't of the form `IP:port`.
     not_connected, ///< No connection could be established; nothing was sent.
-    no_answer ///< The query was sent, but no complete answer was received; a change may have been applied.
+    no_answer ///< The query was sent, but no complete answer with status 200 was received; a change may have been applied.
 };
 
 /** A query to a daemon failed. */
