Fix: A daemon gave up a call whose answer followed a copy of an earlier refusal

What callers saw: `unknown answer_broken` for a call whose answer came right after an earlier refusal, written once more.

Cause: gated_call compared the id of an answer only after the connection had taken it for the awaited one; the connection was even kept, with the real answer still to come.

Change: the connection is told which answers are the call's own (http_answer_rules::ownerOf), drops the others and reads on.

--- a/src/daemon/gated_call.cpp
+++ b/src/daemon/gated_call.cpp
@@ -102,9 +102,20 @@
     m_core.ledger.open(m_call.attempt, m_call.request.context.retryAllowance);
     m_ledgerOpen = true;
     armDeadline();
-    auto pending = server->client->send(forwardedRequest(), [self = shared_from_this()](http_result result) {
-        self->handleResponse(std::move(result));
-    });
+    http_answer_rules rules;
+    rules.ownerOf = [attempt = toHex(m_call.attempt.value)](const http_response &response) {
+        const auto echoed = findHeader(response.headers, "cicadamux-call");
+        if (!echoed) {
+            return answer_owner::unnamed;
+        }
+        return *echoed == attempt ? answer_owner::request : answer_owner::other;
+    };
+    auto pending = server->client->send(
+        forwardedRequest(),
+        [self = shared_from_this()](http_result result) {
+            self->handleResponse(std::move(result));
+        },
+        std::move(rules));
     const std::lock_guard lock(m_mutex);
     m_pending = std::move(pending);
 }
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -98,6 +98,21 @@
     CHECK(violations(fleet) == 0);
 }
 
+TEST_CASE("an earlier refusal that a backend server writes ahead of an answer keeps no call from its answer")
+{
+    test_fleet fleet(twoServiceOptions());
+    for (const std::size_t host : {0U, 1U}) {
+        fleet.control(fleet.hosts()[host].backend, {{"fault", "repeated_refusal"}});
+    }
+    for (int round = 0; round < 10; ++round) {
+        const std::string id = "repeated-" + std::to_string(round);
+        const http_reply reply = callWith(fleet.hosts()[3].edge, "pitchdesk", "show", id, {});
+        CHECK(outcomeIn(reply) == "answered");
+        CHECK(reply.message.body.find('"' + id + '"') != std::string::npos);
+    }
+    CHECK(violations(fleet) == 0);
+}
+
 TEST_CASE("shed work is refused as not run, and protected work is tried at another upstream first")
 {
     test_fleet fleet(twoServiceOptions());
--- a/tests/standin/backend_standin_type.h
+++ b/tests/standin/backend_standin_type.h
@@ -44,11 +44,12 @@
     late_answer, ///< Answers `delay_ms` after processing has ended.
     no_answer, ///< Closes the connection after processing, without an answer.
     wrong_length, ///< Sends less than the stated content-length and closes the connection.
+    repeated_refusal, ///< Sends an answer like that of `shed` to an earlier call ahead of the answer.
     count ///< Number of faults; not a fault itself.
 };
 
 constexpr std::array<const char *, static_cast<std::size_t>(backend_fault::count)> backendFaultNames{
-    "slow", "fail", "shed", "half_answer", "double_answer", "late_answer", "no_answer", "wrong_length"};
+    "slow", "fail", "shed", "half_answer", "double_answer", "late_answer", "no_answer", "wrong_length", "repeated_refusal"};
 
 /** An active fault. */
 struct fault_state {
--- a/tests/standin/backend_standin_worker.cpp
+++ b/tests/standin/backend_standin_worker.cpp
@@ -160,6 +160,9 @@
         item->exchange->answerBytes(bytes.substr(0, bytes.size() / 2), true);
     } else if (shouldInject(backend_fault::double_answer)) {
         item->exchange->answerBytes(bytes + bytes, false);
+    } else if (shouldInject(backend_fault::repeated_refusal)) {
+        const http_message refusal{{}, {}, statusUnavailable, {{"cicadamux-shed", "1"}, {"cicadamux-call", "00000000000000aa"}}, {}};
+        item->exchange->answerBytes(http_server::format(refusal) + bytes, false);
     } else if (shouldInject(backend_fault::wrong_length)) {
         item->exchange->answerBytes("HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n" + answer.body, true);
     } else if (shouldInject(backend_fault::no_answer)) {
--- a/tests/unit/repeated_refusal_test.cpp
+++ b/tests/unit/repeated_refusal_test.cpp
@@ -101,7 +101,7 @@
     {
         const repetition repeated = current();
         connection.send(makeRefusal(repeated.status, repeated.refusalHasId ? id : ""));
-        const std::string copy = makeRefusal(repeated.status, repeated.copyHasId ? id : "");
+        std::string copy = makeRefusal(repeated.status, repeated.copyHasId ? id : "");
         if (repeated.at != copy_time::while_idle) {
             return copy;
         }
