--- a/tests/unit/link_test.cpp
+++ b/tests/unit/link_test.cpp
@@ -95,6 +95,16 @@
         });
     }
 
+    /** Sends a call and runs until the server has it. */
+    bool sendAndArrive()
+    {
+        const std::size_t before = calls.size();
+        send();
+        return runUntil([this, before] {
+            return calls.size() > before;
+        });
+    }
+
     boost::asio::io_context context;
     std::vector<link_call> calls;
     std::vector<link_responder> responders;
@@ -139,6 +149,49 @@
     }));
 }
 
+TEST_CASE("a refusal that a link delivers once more answers no other call (REFUSED)")
+{
+    linked_pair pair;
+    REQUIRE(pair.runUntil([&] {
+        return pair.link->health() == link_health::up;
+    }));
+    link_reply refusal;
+    refusal.outcome = call_outcome::not_run;
+    refusal.reason = outcome_reason::shed;
+    link_reply answer;
+    answer.outcome = call_outcome::answered;
+    answer.status = 200;
+    constexpr int rounds = 3; // The copy comes while idle, during the next call, and with its answer.
+    for (int round = 0; round < rounds; ++round) {
+        CAPTURE(round);
+        REQUIRE(pair.sendAndArrive());
+        const link_responder first = pair.responders.back();
+        first(refusal);
+        REQUIRE(pair.runUntil([&] {
+            return pair.reply.has_value();
+        }));
+        if (round == 0) {
+            first(refusal);
+            pair.context.run_for(std::chrono::milliseconds(20));
+            pair.context.restart();
+        }
+        pair.reply.reset();
+        REQUIRE(pair.sendAndArrive());
+        first(refusal);
+        if (round == 1) {
+            pair.context.run_for(std::chrono::milliseconds(20));
+            pair.context.restart();
+            CHECK_FALSE(pair.reply.has_value());
+        }
+        pair.responders.back()(answer);
+        REQUIRE(pair.runUntil([&] {
+            return pair.reply.has_value();
+        }));
+        CHECK((pair.reply->outcome == call_outcome::answered));
+        pair.reply.reset();
+    }
+}
+
 TEST_CASE("a host is told the configuration and the hosts by one that connects to it")
 {
     linked_pair pair;
