--- a/tests/unit/link_test.cpp
+++ b/tests/unit/link_test.cpp
@@ -192,6 +192,28 @@
     }
 }
 
+TEST_CASE("a link server that ends sending delivers what is queued and its peers close their links (LOST)")
+{
+    linked_pair pair;
+    REQUIRE(pair.runUntil([&] {
+        return pair.link->health() == link_health::up;
+    }));
+    REQUIRE(pair.sendAndArrive());
+    link_reply answer;
+    answer.outcome = call_outcome::answered;
+    answer.status = 200;
+    answer.body = std::string(800'000, 'b');
+    pair.responders.back()(answer);
+    pair.server->finishSending();
+    pair.server->announce({}); // Dropped, as the sending direction has ended.
+    REQUIRE(pair.runUntil([&] {
+        return pair.reply.has_value() && pair.server->count() == 0;
+    }));
+    CHECK((pair.reply->outcome == call_outcome::answered));
+    CHECK(pair.reply->body.size() == answer.body.size());
+    CHECK(pair.server->backlog() == 0);
+}
+
 TEST_CASE("a host is told the configuration and the hosts by one that connects to it")
 {
     linked_pair pair;
