Add: Refusals without an id in a row are believed, each on a connection of its own

The row copy_connection (a connection is used again after an answer without an id) had let its test pass: the copies were dropped by their status all the same. What the mechanism is for is the next refusal, which would be dropped too; the test of named refusals now asks for it.

--- a/tests/unit/repeated_refusal_test.cpp
+++ b/tests/unit/repeated_refusal_test.cpp
@@ -198,7 +198,7 @@
     }
 }
 
-TEST_CASE("a refusal that names its request leaves its connection in use and a first one without an id is believed")
+TEST_CASE("a refusal that names its request leaves its connection in use and those without an id are believed on new ones")
 {
     repeating_host repeating;
     repeating.server.repeat({"503", true, true, copy_time::during_next_run});
@@ -210,4 +210,6 @@
     CHECK(repeating.call(false, "run").message.status == 200); // On a new connection, since a copy came on the first one.
     CHECK(repeating.call(false, "refused").message.status == 503);
     CHECK(repeating.server.connections() == 2);
+    CHECK(repeating.call(false, "refused").message.status == 503); // Believed as well, on a connection of its own.
+    CHECK(repeating.server.connections() == 3);
 }
