--- a/tests/unit/link_test.cpp
+++ b/tests/unit/link_test.cpp
@@ -198,6 +198,7 @@
     REQUIRE(pair.runUntil([&] {
         return pair.link->health() == link_health::up;
     }));
+    pair.link->setProbePeriod({60'000}); // An unanswered probe would close the link, too.
     REQUIRE(pair.sendAndArrive());
     link_reply answer;
     answer.outcome = call_outcome::answered;
