--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -59,6 +59,17 @@
         return hasEnded;
     }
 
+    /** Reads from a socket while the stop goes on; the sidecar has to end in time. @return Number of bytes received. */
+    std::size_t receivedUntilEnd(raw_socket &socket, clock_ms sinceSignal)
+    {
+        auto received = std::async(std::launch::async, [&socket] {
+            return socket.receiveAll().size();
+        });
+        CHECK(endsInTime(sinceSignal));
+        host.running->stop();
+        return received.get();
+    }
+
     /** Lets the backend server answer with bodies of this size. */
     void serveLargeAnswers(std::size_t bytes)
     {
@@ -253,12 +264,7 @@
     constexpr clock_ms untilRead{5'350};
     stopping.fleet.runFor(untilRead);
     CHECK_FALSE(stopping.hasEnded);
-    auto answer = std::async(std::launch::async, [&client] {
-        return client.receiveAll();
-    });
-    CHECK(stopping.endsInTime(untilRead));
-    stopping.host.running->stop();
-    CHECK(answer.get().size() > largeAnswer);
+    CHECK(stopping.receivedUntilEnd(client, untilRead) > largeAnswer);
 }
 
 TEST_CASE("an answer that is on its way to another host keeps a planned stop from ending (LOST)")
@@ -270,12 +276,7 @@
     stopping.stopWithLoop();
     stopping.fleet.runFor(lateInStop);
     CHECK_FALSE(stopping.hasEnded);
-    auto received = std::async(std::launch::async, [&caller] {
-        return caller.receiveAll();
-    });
-    CHECK(stopping.endsInTime(lateInStop));
-    stopping.host.running->stop();
-    CHECK(received.get().size() > largeAnswer);
+    CHECK(stopping.receivedUntilEnd(caller, lateInStop) > largeAnswer);
 }
 
 TEST_CASE("an answer that another host has not read yet survives the end of a planned stop (LOST)")
@@ -291,10 +292,5 @@
     if (stopping.hasEnded) {
         stopping.host.running->stop();
     }
-    auto received = std::async(std::launch::async, [&caller] {
-        return caller.receiveAll();
-    });
-    CHECK(stopping.endsInTime(afterQuiet));
-    stopping.host.running->stop();
-    CHECK(received.get().size() > bufferedAnswer);
+    CHECK(stopping.receivedUntilEnd(caller, afterQuiet) > bufferedAnswer);
 }
